--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"micatiller/control"
-	"micatiller/internal/wire"
+	"millethinge/control"
+	"millethinge/internal/wire"
 )
 
 func main() {
--- a/control/example_test.go
+++ b/control/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"micatiller/control"
+	"millethinge/control"
 )
 
 // A session manager keeps one Controller and carries out its actions.
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -10,7 +10,7 @@
 	"io"
 	"math"
 
-	"micatiller/control"
+	"millethinge/control"
 )
 
 const (
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"micatiller/control"
+	"millethinge/control"
 )
 
 // params mirrors the keys of the settings that the module uses; the decoder
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -11,7 +11,7 @@
 	"strings"
 	"testing"
 
-	"micatiller/control"
+	"millethinge/control"
 )
 
 func unhex(t testing.TB, s string) []byte {
