--- /dev/null
+++ b/cmd/millethinge/main.go
@@ -0,0 +1,127 @@
+// Command millethinge is the session manager: it wires the fronts, the broker,
+// the media nodes and the list together, and ends them on a signal.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"millethinge/internal/broker"
+	"millethinge/internal/config"
+	"millethinge/internal/directory"
+	"millethinge/internal/front/jsonl"
+	"millethinge/internal/front/message"
+	"millethinge/internal/media"
+)
+
+func main() {
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "millethinge:", err)
+		os.Exit(2)
+	}
+	runtime.GOMAXPROCS(max(1, int(math.Round(cfg.Cores))))
+	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
+	log, err := zap.NewProduction(zap.WithCaller(false))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "millethinge:", err)
+		os.Exit(1)
+	}
+	log = log.With(zap.String("name", cfg.Name))
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	if err := run(cfg, stop, log); err != nil {
+		log.Error("ended", zap.Error(err))
+		os.Exit(1)
+	}
+}
+
+// run serves until a signal comes and all that was taken is answered.
+func run(cfg config.Config, stop <-chan os.Signal, log *zap.Logger) error {
+	root, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, ctx := errgroup.WithContext(root)
+
+	// The broker and the nodes know each other; the broker does nothing before
+	// it runs, so its nodes may be made first.
+	var core *broker.Broker
+	pool := media.NewPool(ctx, group, media.Config{
+		Classes: cfg.Classes, Fields: cfg.Settings.Fields,
+		ConnectTimeout: cfg.ConnectTimeout, ConnIdle: cfg.ConnIdle,
+		StreamsPerConn: cfg.StreamsPerConn, MaxConns: cfg.NodeConns(),
+		Report: func(r broker.Report) { core.Report(r) }, Log: log,
+	})
+	core, err := broker.New(broker.Config{
+		Settings: cfg.Settings, Seed: cfg.Seed, Teams: cfg.Operator.Teams, Nodes: pool, Log: log,
+	})
+	if err != nil {
+		return err
+	}
+	coordinator := &directory.Coordinator{
+		Addr: cfg.Coordinator, Known: cfg.Known, Names: cfg.Names, Log: log,
+		Sink: func(c directory.Change) {
+			pool.Apply(c) // first: a drain binds what is queued at once
+			core.List(list(c))
+		},
+	}
+	coordinator.Start()
+
+	teams := cfg.Tenants
+	for _, t := range cfg.Operator.Teams {
+		teams = append(teams, t.Name)
+	}
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return err
+	}
+	front := &jsonl.Front{
+		Core: core, MaxConns: cfg.ViewerConns(), Log: log,
+		Catalog: message.Catalog{
+			Classes: cfg.Classes, Teams: teams,
+			Cells: cfg.Settings.Cells, MaxRung: len(cfg.Settings.RatesKB) - 1,
+		},
+	}
+	group.Go(func() error { return core.Run(ctx) })
+	group.Go(func() error { return coordinator.Run(ctx) })
+	group.Go(func() error { return front.Serve(ctx, listener) })
+	group.Go(func() error {
+		select {
+		case s := <-stop:
+			log.Info("draining", zap.Stringer("signal", s))
+			core.Drain()
+		case <-ctx.Done():
+			return nil
+		}
+		select {
+		case <-core.Drained():
+			time.Sleep(lastWrites)
+			cancel()
+		case <-ctx.Done():
+		}
+		return nil
+	})
+	log.Info("serving", zap.String("listen", listener.Addr().String()))
+	return group.Wait()
+}
+
+// lastWrites is left for queued answers to be written before the end.
+const lastWrites = 50 * time.Millisecond
+
+func list(c directory.Change) broker.List {
+	l := broker.List{Full: c.Full}
+	for _, m := range c.Members {
+		l.Entries = append(l.Entries, m.Entry)
+	}
+	return l
+}
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -9,6 +9,7 @@
 	"os"
 
 	"millethinge/control"
+	"millethinge/internal/config"
 	"millethinge/internal/wire"
 )
 
@@ -57,7 +58,7 @@
 	}()
 	switch r.Kind {
 	case wire.KindUp:
-		settings, err := wire.ParseSettings(r.Params)
+		settings, err := config.ParseSettings(r.Params)
 		if err == nil {
 			instances[r.Instance], err = control.New(settings, r.Seed)
 		}
--- a/control/api.go
+++ b/control/api.go
@@ -183,7 +183,7 @@
 const (
 	ActHandOff ActionKind = iota // Session, Server, PatienceS
 	ActRung                      // Session, Rung
-	ActDeny                      // Session
+	ActDeny                      // Session, WaitS
 	ActFail                      // Session
 	ActWake                      // DelayS, Token
 	ActProbe                     // Server
@@ -199,6 +199,7 @@
 	Rung      int
 	PatienceS float64 // 0: until the viewer gives up
 	DelayS    float64
+	WaitS     float64 // ActDeny: how long the viewer should stay away; 0: no advice
 	Token     uint32
 	Text      string
 }
--- /dev/null
+++ b/internal/broker/api.go
@@ -0,0 +1,125 @@
+package broker
+
+import (
+	"time"
+
+	"millethinge/control"
+)
+
+// Causes of replies and releases. Refusals say that trying again is harmless;
+// other causes don't.
+const (
+	CauseEnded     = 16 // the session has come to its end
+	CauseCancelled = 31 // moved, or ended by its viewer
+	CauseRefused   = 42
+	CauseCut       = 41 // the session was cut
+	CauseFailed    = 38 // the set-up failed, or may have run
+)
+
+// Request is a session to be set up, as a front read it. What it refers to is
+// its own, not a slice of a read buffer.
+type Request struct {
+	ID      control.SessionID
+	Class   int
+	Team    int    // position behind the platform's tenants; -1: none
+	Key     string // the title as the viewer wrote it
+	Title   uint64
+	Home    int
+	Span    int
+	MaxRung float64
+	Left    time.Duration // from Came
+	Came    time.Time     // when its last byte was read
+
+	Playing     control.Server // set: it plays there already; no answer is owed
+	Description []byte
+	Client      Client
+	// Grace is how long a session outlives its client's connection. With 0 a
+	// lost connection gives its open set-ups up and ends nothing that stands.
+	Grace time.Duration
+}
+
+// ViewerEnd tells that a viewer has given a set-up up or ends a session.
+type ViewerEnd struct {
+	ID    control.SessionID
+	Cause int
+}
+
+// ReplyKind says what a Reply tells a viewer.
+type ReplyKind uint8
+
+const (
+	Served  ReplyKind = iota // it stands, by Description
+	Refused                  // trying again, after Wait, is harmless
+	Failed                   // it may have run
+	Over                     // a session that stood is over
+	Moved                    // a session that stood ends here; come again
+)
+
+// Reply is one message to a viewer.
+type Reply struct {
+	Kind        ReplyKind
+	ID          control.SessionID
+	Cause       int
+	Wait        time.Duration
+	Description []byte
+}
+
+// Client carries replies to a viewer. Deliver never waits; it returns false if
+// the reply can't reach the viewer any more.
+type Client interface{ Deliver(Reply) bool }
+
+// Attempt is one set-up at one media node.
+type Attempt struct {
+	ID          control.SessionID
+	Number      int // from 1
+	Class       int
+	Key         string
+	Rung        int
+	Deadline    time.Time
+	Description []byte
+}
+
+// Nodes are the media nodes. No call waits; what comes of it is told to the
+// broker by Report.
+type Nodes interface {
+	// SetUp sends an attempt. False: the list names no such node.
+	SetUp(control.Server, Attempt) bool
+	// GiveUp ends an attempt that is out: an Ended report follows once its
+	// TEARDOWN is written or it is certain that none is needed.
+	GiveUp(server control.Server, id control.SessionID, number int, timedOut bool)
+	// Stands names a session that plays at a node since before the start.
+	Stands(control.Server, control.SessionID) bool
+	Release(server control.Server, id control.SessionID, cause int)
+	SetRung(server control.Server, id control.SessionID, rung int)
+	Probe(control.Server)
+}
+
+// ReportKind says what a Report is.
+type ReportKind uint8
+
+const (
+	Started ReportKind = iota // the session stands, by Description
+	Ended                     // the attempt, or the session that stood, has ended
+	Probed                    // Status, Load
+	Noted                     // Note, Value
+)
+
+// Report is what a media node tells.
+type Report struct {
+	Kind        ReportKind
+	Server      control.Server
+	ID          control.SessionID
+	Number      int // of the attempt; 0: whichever
+	Status      control.Status
+	Cause       int // of a release by the node
+	Load        []float64
+	Note        control.NoteKind
+	Value       float64
+	Description []byte
+}
+
+// List is a change to the list of media nodes.
+type List struct {
+	Full    bool
+	Entries []control.Entry
+}
--- /dev/null
+++ b/internal/broker/broker.go
@@ -0,0 +1,247 @@
+// Package broker is the core of the session manager. It deals in requests,
+// attempts and outcomes and knows no wire: fronts hand it requests and carry
+// its replies, media nodes carry its attempts and report their outcomes.
+//
+// One actor owns each session's life and is the only one to call the decision
+// module. It never waits for a front or a node.
+package broker
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"millethinge/control"
+	"millethinge/internal/mailbox"
+)
+
+const (
+	// inboxLimit bounds what fronts may have waiting before the module.
+	inboxLimit = 4096
+	// answerMargin is kept before a viewer's deadline for the answer's way.
+	answerMargin = 100 * time.Millisecond
+	// lastMargin is when the broker answers itself what the module has not.
+	lastMargin = 50 * time.Millisecond
+	// drainTime is how long requests go on coming after SIGTERM.
+	drainTime = 900 * time.Millisecond
+	// tombstones bounds the final replies kept for players that reconnect.
+	tombstones = 4096
+	// tombstoneTime is how long such a reply is kept.
+	tombstoneTime = 30 * time.Second
+)
+
+// Config is what a Broker needs.
+type Config struct {
+	Settings control.Settings
+	Seed     uint64
+	Teams    []Team
+	Nodes    Nodes
+	Log      *zap.Logger
+}
+
+// Broker is the actor round the decision module.
+type Broker struct {
+	set      control.Settings
+	ctl      *control.Controller
+	nodes    Nodes
+	log      *zap.Logger
+	clock    clock
+	inbox    *mailbox.Box[any]
+	sessions map[control.SessionID]*session
+	ended    map[control.SessionID]Reply // final replies that a player may still ask for
+	open     map[control.SessionID]bool  // set-ups not answered yet
+	timers   timers
+	ledgers  []ledger
+	drained  chan struct{}
+	stopping time.Time // when the drain ends; zero: not asked for
+}
+
+// New returns a Broker. Run starts it.
+func New(cfg Config) (*Broker, error) {
+	set := cfg.Settings
+	for _, t := range cfg.Teams {
+		set.Quotas = append(set.Quotas, t.Rate)
+	}
+	ctl, err := control.New(set, cfg.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("broker: %w", err)
+	}
+	return &Broker{
+		set: set, ctl: ctl, nodes: cfg.Nodes, log: cfg.Log, clock: newClock(),
+		inbox:    mailbox.New[any](inboxLimit),
+		sessions: make(map[control.SessionID]*session),
+		ended:    make(map[control.SessionID]Reply),
+		open:     make(map[control.SessionID]bool),
+		ledgers:  newLedgers(cfg.Teams, len(cfg.Settings.Quotas)),
+		drained:  make(chan struct{}),
+	}, nil
+}
+
+// Submit hands over a request. False: the mailbox is full, nothing was taken.
+func (b *Broker) Submit(r Request) bool { return b.inbox.Put(r) }
+
+// End tells that a viewer has given a session up or has released it.
+func (b *Broker) End(e ViewerEnd) bool { return b.inbox.Put(e) }
+
+// Lost tells that a client's connection is gone.
+func (b *Broker) Lost(c Client) { b.inbox.Force(lost{c}) }
+
+// Report takes what a media node tells. Their number is bounded by that of
+// attempts, probes and notes, so none is dropped.
+func (b *Broker) Report(r Report) { b.inbox.Force(r) }
+
+// List takes a change to the list of media nodes.
+func (b *Broker) List(l List) { b.inbox.Force(l) }
+
+// Drain asks the broker to finish: it serves on for a while, answers all that
+// it took, and then closes Drained.
+func (b *Broker) Drain() { b.inbox.Force(drain{}) }
+
+// Drained is closed once all that was taken before and during a drain is
+// answered.
+func (b *Broker) Drained() <-chan struct{} { return b.drained }
+
+type (
+	lost  struct{ client Client }
+	drain struct{}
+)
+
+// Run is the actor's loop.
+func (b *Broker) Run(ctx context.Context) error {
+	var batch []any
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		if d, ok := b.timers.next(b.clock.now()); ok {
+			timer.Reset(d)
+		} else {
+			timer.Reset(time.Hour)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		case <-b.inbox.Ready():
+		}
+		batch = b.inbox.Take(batch)
+		for _, m := range batch {
+			b.handle(m)
+		}
+		b.expire()
+		b.checkDrained()
+	}
+}
+
+func (b *Broker) handle(m any) {
+	switch m := m.(type) {
+	case Request:
+		b.request(m)
+	case ViewerEnd:
+		b.viewerEnd(m)
+	case lost:
+		b.clientLost(m.client)
+	case Report:
+		b.report(m)
+	case List:
+		kind := control.ListDelta
+		if m.Full {
+			kind = control.ListFull
+		}
+		b.tell(control.Event{Kind: control.EvList, List: kind, Entries: m.Entries})
+	case drain:
+		if b.stopping.IsZero() {
+			b.stopping = b.clock.now().Add(drainTime)
+			b.timers.add(b.stopping, timerDrain, 0, 0)
+		}
+	}
+}
+
+func (b *Broker) checkDrained() {
+	if b.stopping.IsZero() || b.clock.now().Before(b.stopping) || len(b.open) > 0 {
+		return
+	}
+	select {
+	case <-b.drained:
+	default:
+		b.closeStanding()
+		close(b.drained)
+	}
+}
+
+// closeStanding ends what stands on both sides before the program exits.
+func (b *Broker) closeStanding() {
+	for id, s := range b.sessions {
+		if s.playing {
+			s.client.Deliver(Reply{Kind: Over, ID: id, Cause: CauseCut})
+			b.nodes.Release(s.server, id, CauseCut)
+		}
+	}
+}
+
+// tell hands one event to the module and carries its actions out.
+func (b *Broker) tell(e control.Event) {
+	now := b.clock.now()
+	for _, a := range b.ctl.Handle(unix(now), e) {
+		b.act(now, a)
+	}
+}
+
+func (b *Broker) act(now time.Time, a control.Action) {
+	s := b.sessions[a.Session]
+	switch a.Kind {
+	case control.ActHandOff:
+		b.handOff(now, s, a)
+	case control.ActRung:
+		if s != nil {
+			s.rung = a.Rung
+			if s.out || s.playing {
+				b.nodes.SetRung(s.server, s.ID, a.Rung)
+			}
+		}
+	case control.ActDeny:
+		if s != nil && !s.answered {
+			b.refuse(s, seconds(a.WaitS))
+		}
+	case control.ActFail:
+		if s != nil && !s.answered {
+			b.answer(s, Reply{Kind: Failed, ID: s.ID, Cause: CauseFailed})
+		}
+	case control.ActWake:
+		b.timers.add(now.Add(seconds(a.DelayS)), timerWake, 0, a.Token)
+	case control.ActProbe:
+		b.nodes.Probe(a.Server)
+	case control.ActRemark:
+		b.log.Info("module", zap.String("remark", a.Text))
+	}
+}
+
+// expire runs the timers that are due.
+func (b *Broker) expire() {
+	for {
+		t, ok := b.timers.pop(b.clock.now())
+		if !ok {
+			return
+		}
+		s := b.sessions[t.session]
+		switch t.kind {
+		case timerWake:
+			b.tell(control.Event{Kind: control.EvTimer, Token: t.token})
+		case timerAttempt:
+			if s != nil && s.out && s.attempt == int(t.token) {
+				b.nodes.GiveUp(s.server, s.ID, s.attempt, true)
+			}
+		case timerDeadline:
+			b.overdue(t.session)
+		case timerGrace:
+			if s != nil && s.client == nil && s.losses == t.token {
+				b.abandon(s)
+			}
+		case timerForget:
+			delete(b.ended, t.session)
+		}
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/broker/session.go
@@ -0,0 +1,310 @@
+package broker
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"millethinge/control"
+)
+
+// session is one request from its arrival until all of it has ended.
+type session struct {
+	Request
+	client   Client // nil: its player's connection is lost
+	losses   uint32 // how often it was
+	deadline time.Time
+	answered bool // the final answer is given, or none is owed
+	reply    Reply
+	attempt  int // number of the last attempt
+	server   control.Server
+	rung     int
+	out      bool // an attempt is out
+	playing  bool
+	mayRun   bool // an earlier attempt may have run
+	billed   bool
+}
+
+func (b *Broker) request(r Request) {
+	now := b.clock.now()
+	if s := b.sessions[r.ID]; s != nil {
+		b.rejoin(s, r)
+		return
+	}
+	if last, ok := b.ended[r.ID]; ok {
+		// A player that lost the final answer asks again: it gets the same one,
+		// and nothing is set up a second time.
+		r.Client.Deliver(last)
+		return
+	}
+	s := &session{Request: r, client: r.Client, deadline: r.Came.Add(r.Left), rung: b.set.Classes[r.Class].Floor}
+	e := control.Event{
+		Session: r.ID, Class: r.Class, Tenant: r.Team, Title: r.Title,
+		Home: r.Home, Span: r.Span, MaxRung: r.MaxRung,
+	}
+	if r.Playing != 0 {
+		if !b.nodes.Stands(r.Playing, r.ID) {
+			b.log.Warn("a session stands at an unlisted node", zap.Uint64("node", uint64(r.Playing)))
+			return
+		}
+		s.playing, s.answered, s.server, s.attempt = true, true, r.Playing, 1
+		b.sessions[r.ID] = s
+		e.Kind, e.Server = control.EvOpen, r.Playing
+		e.LeftS = r.Left.Seconds()
+		b.tell(e)
+		return
+	}
+	b.sessions[r.ID] = s
+	b.open[r.ID] = true
+	b.timers.add(s.deadline.Add(-lastMargin), timerDeadline, r.ID, 0)
+	if wait, ok := b.admit(now, s); !ok {
+		b.refuse(s, wait)
+		return
+	}
+	e.Kind = control.EvArrive
+	e.LeftS = max(s.deadline.Sub(now)-answerMargin, 0).Seconds()
+	b.tell(e)
+}
+
+// rejoin gives a running session to the connection that its player came back
+// on. The set-up under way goes on: none is begun again.
+func (b *Broker) rejoin(s *session, r Request) {
+	if r.Playing != 0 || s.Grace == 0 {
+		return // an 'at' names what is held already; viewers' ids are new each time
+	}
+	s.client = r.Client
+	if s.answered {
+		s.client.Deliver(s.reply)
+	}
+}
+
+// clientLost gives up the set-ups open on a connection that is gone, or keeps
+// them for a player that may come back.
+func (b *Broker) clientLost(c Client) {
+	now := b.clock.now()
+	for _, s := range b.sessions {
+		if s.client != c {
+			continue
+		}
+		if s.Grace > 0 {
+			s.client = nil
+			s.losses++
+			b.timers.add(now.Add(s.Grace), timerGrace, s.ID, s.losses)
+		} else if !s.answered {
+			b.abandon(s)
+		}
+	}
+}
+
+// viewerEnd gives a set-up up or ends a session that stands.
+func (b *Broker) viewerEnd(e ViewerEnd) {
+	s := b.sessions[e.ID]
+	if s == nil {
+		return
+	}
+	if s.playing {
+		s.reply = Reply{Kind: Over, ID: s.ID, Cause: e.Cause}
+		b.nodes.Release(s.server, s.ID, e.Cause)
+		b.over(s, control.Cancelled, nil)
+		return
+	}
+	b.abandon(s)
+}
+
+// abandon ends a session whose viewer waits no more. No answer is owed.
+func (b *Broker) abandon(s *session) {
+	if s.playing {
+		s.reply = Reply{Kind: Over, ID: s.ID, Cause: CauseEnded}
+		b.nodes.Release(s.server, s.ID, CauseEnded)
+		b.over(s, control.Cancelled, nil)
+		return
+	}
+	s.answered, s.reply = true, Reply{Kind: Failed, ID: s.ID, Cause: CauseFailed}
+	delete(b.open, s.ID)
+	if s.out {
+		b.nodes.GiveUp(s.server, s.ID, s.attempt, false)
+	}
+	b.tell(control.Event{Kind: control.EvAborted, Session: s.ID})
+	b.forget(s)
+}
+
+// overdue answers what nothing else has answered: the last guard before a
+// viewer's time is up, whatever a node or the module does.
+func (b *Broker) overdue(id control.SessionID) {
+	s := b.sessions[id]
+	if s == nil || s.answered {
+		return
+	}
+	b.log.Warn("answered at the deadline", zap.Uint64("session", uint64(id)))
+	b.answer(s, Reply{Kind: Failed, ID: id, Cause: CauseFailed})
+	if s.out {
+		b.nodes.GiveUp(s.server, id, s.attempt, true)
+	}
+	b.tell(control.Event{Kind: control.EvAborted, Session: id})
+	b.forget(s)
+}
+
+// handOff sends an attempt. One attempt is out at a time: the module is told
+// an attempt's end only when its TEARDOWN is written, and this guards it.
+func (b *Broker) handOff(now time.Time, s *session, a control.Action) {
+	if s == nil || s.answered || s.out || s.playing {
+		return
+	}
+	s.attempt++
+	if s.mayRun && b.set.Classes[s.Class].Effect != control.Idempotent {
+		// Guard: a paid session is sent again only if no attempt can have run.
+		b.moot(s, a.Server)
+		return
+	}
+	if s.attempt > b.set.AttemptsCap || !b.spend(now, s) {
+		b.moot(s, a.Server)
+		return
+	}
+	end := s.deadline.Add(-answerMargin)
+	if a.PatienceS > 0 {
+		if t := now.Add(seconds(a.PatienceS)); t.Before(end) {
+			end = t
+		}
+	}
+	s.server, s.out = a.Server, true
+	ok := b.nodes.SetUp(a.Server, Attempt{
+		ID: s.ID, Number: s.attempt, Class: s.Class, Key: s.Key, Rung: s.rung,
+		Deadline: end, Description: s.Description,
+	})
+	if !ok {
+		b.moot(s, a.Server)
+		return
+	}
+	b.timers.add(end, timerAttempt, s.ID, uint32(s.attempt))
+}
+
+// moot reports an attempt that never left, after the module's present actions.
+func (b *Broker) moot(s *session, server control.Server) {
+	s.out, s.server = true, server
+	b.Report(Report{Kind: Ended, Server: server, ID: s.ID, Number: s.attempt, Status: control.Moot})
+}
+
+// refuse tells a viewer to come again later. The rule on paid sessions covers
+// every refusal: where an attempt may have run the answer is that it failed.
+func (b *Broker) refuse(s *session, wait time.Duration) {
+	if b.set.Classes[s.Class].Effect != control.Idempotent && (s.mayRun || s.out) {
+		b.answer(s, Reply{Kind: Failed, ID: s.ID, Cause: CauseFailed})
+		return
+	}
+	b.answer(s, Reply{Kind: Refused, ID: s.ID, Cause: CauseRefused, Wait: wait})
+}
+
+// answer gives the one final answer.
+func (b *Broker) answer(s *session, r Reply) {
+	if s.answered {
+		return
+	}
+	s.answered, s.reply = true, r
+	delete(b.open, s.ID)
+	if s.client != nil { // else it waits in s.reply for its player
+		s.client.Deliver(r)
+	}
+	if r.Kind != Served {
+		b.forget(s)
+	}
+}
+
+// forget drops a session that has its answer and nothing out. What a player
+// may still ask for is kept a while.
+func (b *Broker) forget(s *session) {
+	if s.out || s.playing || !s.answered {
+		return
+	}
+	if b.sessions[s.ID] != s {
+		return
+	}
+	delete(b.sessions, s.ID)
+	b.settle(s)
+	if s.Grace > 0 && len(b.ended) < tombstones {
+		b.ended[s.ID] = s.reply
+		b.timers.add(b.clock.now().Add(tombstoneTime), timerForget, s.ID, 0)
+	}
+}
+
+// report takes what a media node tells of an attempt or a session.
+func (b *Broker) report(r Report) {
+	if r.Kind == Probed {
+		b.tell(control.Event{Kind: control.EvProbed, Server: r.Server, Status: r.Status, Load: r.Load})
+		return
+	}
+	s := b.sessions[r.ID]
+	if s == nil || s.server != r.Server || r.Number != 0 && r.Number != s.attempt {
+		if r.Kind == Started {
+			// Guard: a late 200 after giving up is torn down.
+			b.nodes.Release(r.Server, r.ID, CauseEnded)
+		}
+		return
+	}
+	switch r.Kind {
+	case Started:
+		b.started(s, r)
+	case Ended:
+		b.attemptEnded(s, r)
+	case Noted:
+		b.tell(control.Event{Kind: control.EvNote, Session: s.ID, Server: r.Server,
+			Attempt: s.attempt - 1, Note: r.Note, Value: r.Value})
+	}
+}
+
+func (b *Broker) started(s *session, r Report) {
+	if !s.out || s.playing {
+		return
+	}
+	s.out = false
+	if s.answered {
+		b.nodes.Release(r.Server, s.ID, CauseEnded)
+		b.tell(control.Event{Kind: control.EvEnd, Session: s.ID, Attempt: s.attempt - 1,
+			Server: s.server, Status: control.Cancelled, Finished: true})
+		b.forget(s)
+		return
+	}
+	s.playing = true
+	b.tell(control.Event{Kind: control.EvFirst, Session: s.ID, Server: s.server, Attempt: s.attempt - 1})
+	b.answer(s, Reply{Kind: Served, ID: s.ID, Description: r.Description})
+}
+
+func (b *Broker) attemptEnded(s *session, r Report) {
+	if s.playing {
+		cause := r.Cause
+		if cause == 0 {
+			cause = CauseCut
+		}
+		if cause != CauseCancelled { // the viewer knows of its own end
+			b.toldOver(s, Reply{Kind: Over, ID: s.ID, Cause: cause})
+		}
+		b.over(s, r.Status, r.Load)
+		return
+	}
+	if !s.out {
+		return
+	}
+	s.out = false
+	switch r.Status {
+	case control.Full, control.ConnectFailed, control.Moot: // proven not to have run
+	default:
+		s.mayRun = true
+	}
+	b.tell(control.Event{Kind: control.EvEnd, Session: s.ID, Attempt: s.attempt - 1, Server: s.server,
+		Status: r.Status, Finished: s.answered, Load: r.Load})
+	b.forget(s)
+}
+
+func (b *Broker) toldOver(s *session, r Reply) {
+	s.reply = r
+	if s.client != nil {
+		s.client.Deliver(r)
+	}
+}
+
+// over ends a session that stood.
+func (b *Broker) over(s *session, status control.Status, load []float64) {
+	s.playing = false
+	b.tell(control.Event{Kind: control.EvEnd, Session: s.ID, Attempt: s.attempt - 1, Server: s.server,
+		Status: status, Finished: true, Load: load})
+	b.forget(s)
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,190 @@
+// Package config is the one place where configuration is read, checked and
+// given defaults: the environment, the platform's JSON and the operator's JSON
+// file. Errors name the key at fault.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"millethinge/control"
+	"millethinge/internal/directory"
+)
+
+// Environment variables.
+const (
+	envName     = "BALANCER_NAME"
+	envListen   = "BALANCER_LISTEN"
+	envConfig   = "BALANCER_CONFIG"
+	envOperator = "MILLETHINGE_OPERATOR" // the operator's file; absent: none
+)
+
+// Defaults of what the platform may leave out.
+const (
+	defaultMemoryMB    = 192
+	defaultSockets     = 1024
+	defaultConnIdle    = 15 * time.Second
+	defaultConnect     = 250 * time.Millisecond
+	defaultPerConn     = 32
+	leastSockets       = 32
+	platformFile       = "the platform's configuration"
+	viewersPart        = 3 // viewers may hold one part in so many of the descriptors
+	descriptorsForSelf = 24
+)
+
+// Config is all that the program is told.
+type Config struct {
+	Name     string
+	Listen   string
+	Seed     uint64
+	Cores    float64
+	MemoryMB int
+	Sockets  int
+
+	Coordinator string
+	Known       directory.Updates
+	Names       directory.Names
+	Settings    control.Settings
+	Classes     []string // names by class
+	Tenants     []string // of the platform, by number
+
+	ConnIdle       time.Duration
+	ConnectTimeout time.Duration
+	StreamsPerConn int
+
+	Operator Operator
+}
+
+// ViewerConns is how many viewers' connections are accepted at once.
+func (c *Config) ViewerConns() int { return c.Sockets/viewersPart + descriptorsForSelf }
+
+// NodeConns is how many connections to media nodes may be open at once.
+func (c *Config) NodeConns() int { return c.Sockets - c.ViewerConns() - 2*descriptorsForSelf }
+
+// Load reads the configuration of the environment that getenv tells.
+func Load(getenv func(string) string) (Config, error) {
+	var c Config
+	path := getenv(envConfig)
+	if path == "" {
+		return c, fmt.Errorf("%s: not set", envConfig)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return c, fmt.Errorf("%s: %w", envConfig, err)
+	}
+	if c, err = Parse(text); err != nil {
+		return c, err
+	}
+	if name := getenv(envName); name != "" {
+		c.Name = name
+	}
+	if listen := getenv(envListen); listen != "" {
+		c.Listen = listen
+	}
+	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
+		return c, fmt.Errorf("listen (or %s): %w", envListen, err)
+	}
+	if path := getenv(envOperator); path != "" {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return c, fmt.Errorf("%s: %w", envOperator, err)
+		}
+		if c.Operator, err = ParseOperator(text, c.Classes); err != nil {
+			return c, fmt.Errorf("%s: %w", envOperator, err)
+		}
+	}
+	return c, nil
+}
+
+// Parse reads the platform's JSON.
+func Parse(text []byte) (Config, error) {
+	var raw struct {
+		Name   string `json:"name"`
+		Listen string `json:"listen"`
+		Seed   string `json:"seed"`
+		Limits struct {
+			Cores    float64 `json:"cores"`
+			MemoryMB int     `json:"memory_mb"`
+			Sockets  int     `json:"sockets"`
+		} `json:"limits"`
+		Coordinator string          `json:"coordinator"`
+		Known       json.RawMessage `json:"known"`
+		Settings    json.RawMessage `json:"settings"`
+	}
+	fault := func(key string, err error) (Config, error) {
+		return Config{}, fmt.Errorf("%s: %s: %w", platformFile, key, err)
+	}
+	if err := json.Unmarshal(text, &raw); err != nil {
+		return Config{}, fmt.Errorf("%s: %w", platformFile, err)
+	}
+	c := Config{
+		Name: raw.Name, Listen: raw.Listen, Coordinator: raw.Coordinator,
+		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets,
+	}
+	if c.Cores <= 0 {
+		c.Cores = 1
+	}
+	if c.MemoryMB <= 0 {
+		c.MemoryMB = defaultMemoryMB
+	}
+	if c.Sockets == 0 {
+		c.Sockets = defaultSockets
+	}
+	if c.Sockets < leastSockets*descriptorsForSelf/8 {
+		return fault("limits.sockets", fmt.Errorf("%d is too few", c.Sockets))
+	}
+	var err error
+	if raw.Seed != "" {
+		if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
+			return fault("seed", err)
+		}
+	}
+	if len(raw.Known) > 0 {
+		if c.Known, err = directory.ParseUpdates(raw.Known); err != nil {
+			return fault("known", err)
+		}
+	}
+	if c.Coordinator != "" {
+		if _, _, err := net.SplitHostPort(c.Coordinator); err != nil {
+			return fault("coordinator", err)
+		}
+	}
+	if len(raw.Settings) == 0 {
+		return fault("settings", fmt.Errorf("missing"))
+	}
+	p, err := parseParams(raw.Settings)
+	if err != nil {
+		return fault("settings", err)
+	}
+	if c.Settings, err = p.settings(); err != nil {
+		return fault("settings", err)
+	}
+	c.Names = directory.Names{Zones: p.Zones, Kinds: p.Kinds}
+	for i, l := range p.Lanes {
+		if l.Name == "" {
+			return fault(fmt.Sprintf("settings.lanes[%d].name", i), fmt.Errorf("missing"))
+		}
+		c.Classes = append(c.Classes, l.Name)
+	}
+	for _, t := range p.Projects {
+		c.Tenants = append(c.Tenants, t.Name)
+	}
+	c.ConnIdle = orDefault(p.Limits.ConnIdleS, defaultConnIdle)
+	c.ConnectTimeout = orDefault(p.Limits.ConnectS, defaultConnect)
+	c.StreamsPerConn = p.Limits.PerConn
+	if c.StreamsPerConn <= 0 {
+		c.StreamsPerConn = defaultPerConn
+	}
+	return c, nil
+}
+
+func orDefault(s float64, d time.Duration) time.Duration {
+	if s <= 0 {
+		return d
+	}
+	return time.Duration(s * float64(time.Second))
+}
--- a/internal/wire/settings.go
+++ b/internal/config/settings.go
@@ -1,4 +1,4 @@
-package wire
+package config
 
 import (
 	"encoding/json"
@@ -10,16 +10,20 @@
 // params mirrors the keys of the settings that the module uses; the decoder
 // ignores all others.
 type params struct {
-	Balancers int    `json:"balancers"`
-	Zone      int    `json:"zone"`
-	Discovery string `json:"discovery"`
-	Weights   string `json:"weights"`
+	Balancers int      `json:"balancers"`
+	Zone      int      `json:"zone"`
+	Discovery string   `json:"discovery"`
+	Weights   string   `json:"weights"`
+	Zones     []string `json:"localities"`
+	Kinds     []string `json:"flavors"`
 	Lanes     []struct {
+		Name     string  `json:"name"`
 		Effect   string  `json:"effect"`
 		GoalTime float64 `json:"goalTimeS"`
 		Worth    float64 `json:"worth"`
 	} `json:"lanes"`
 	Projects []struct {
+		Name  string  `json:"name"`
 		Quota float64 `json:"quotaPerS"`
 	} `json:"projects"`
 	Family struct {
@@ -44,8 +48,12 @@
 		Via    string   `json:"via"`
 	} `json:"feedback"`
 	Limits struct {
-		AttemptsCap int  `json:"attemptsCap"`
-		Probes      bool `json:"probes"`
+		AttemptsCap int     `json:"attemptsCap"`
+		Probes      bool    `json:"probes"`
+		MaxRetryS   float64 `json:"maxRetryAfterS"`
+		ConnIdleS   float64 `json:"connIdleS"`
+		ConnectS    float64 `json:"connectTimeoutS"`
+		PerConn     int     `json:"streamsPerConn"`
 	} `json:"policyLimits"`
 	Charges struct {
 		CrossZone float64 `json:"crossZone"`
@@ -62,10 +70,22 @@
 
 // ParseSettings reads the settings that come with an instance's start.
 func ParseSettings(text []byte) (control.Settings, error) {
+	p, err := parseParams(text)
+	if err != nil {
+		return control.Settings{}, err
+	}
+	return p.settings()
+}
+
+func parseParams(text []byte) (params, error) {
 	var p params
 	if err := json.Unmarshal(text, &p); err != nil {
-		return control.Settings{}, fmt.Errorf("settings: %w", err)
+		return p, fmt.Errorf("settings: %w", err)
 	}
+	return p, nil
+}
+
+func (p *params) settings() (control.Settings, error) {
 	f, r := &p.Family, &p.Rules
 	for _, table := range []struct {
 		name string
--- /dev/null
+++ b/internal/media/node.go
@@ -0,0 +1,604 @@
+package media
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"millethinge/control"
+	"millethinge/internal/broker"
+	"millethinge/internal/directory"
+	"millethinge/internal/mailbox"
+	"millethinge/internal/rtsp"
+)
+
+// CSeq values, as PROTOCOL gives them.
+const (
+	seqSetUp    = 1
+	seqTearDown = 2
+	seqTest     = 3
+	seqOther    = 4
+)
+
+const (
+	tickTime    = 100 * time.Millisecond
+	probeTime   = 300 * time.Millisecond  // a report that is later says little
+	silentTime  = 2 * time.Second         // after which a node with sessions is looked at again
+	lostTime    = 4500 * time.Millisecond // after which, with failed looks, it is lost
+	keepRelease = 10 * time.Second        // how long a release waits for a connection
+	mostConns   = 5                       // to one node
+)
+
+// node is the actor of one media node.
+type node struct {
+	pool   *Pool
+	server control.Server
+	id     string
+	addr   string
+	up     time.Time
+	state  atomic.Int32 // control.State, as the list last said
+	box    *box
+
+	conns    []*conn
+	dialling bool
+	attempts map[control.SessionID]*attempt
+	standing map[control.SessionID]*stand
+	owed     map[control.SessionID]owed // releases without a connection to go on
+	probes   map[uint64]time.Time       // when each is given up
+	asked    int                        // probes that wait for a connection
+	heardAt  time.Time                  // when the node last showed a sign of life
+	buf      []byte
+}
+
+// attempt is a set-up: queued while conn is nil, else out.
+type attempt struct {
+	broker.Attempt
+	conn *conn
+}
+
+// stand is a session that plays.
+type stand struct {
+	conn *conn // of its set-up; nil: closed
+	at   time.Time
+}
+
+type owed struct {
+	cause int
+	until time.Time
+}
+
+func newNode(p *Pool, m directory.Member) *node {
+	return &node{
+		pool: p, server: m.Server, id: m.ID, addr: m.Addr, up: m.Up,
+		box:      mailbox.New[any](boxLimit),
+		attempts: make(map[control.SessionID]*attempt),
+		standing: make(map[control.SessionID]*stand),
+		owed:     make(map[control.SessionID]owed),
+		probes:   make(map[uint64]time.Time),
+		heardAt:  time.Now(),
+	}
+}
+
+// run is the actor's loop.
+func (n *node) run() error {
+	var batch []any
+	tick := time.NewTicker(tickTime)
+	defer tick.Stop()
+	defer func() {
+		for _, c := range n.conns {
+			n.close(c)
+		}
+	}()
+	for {
+		select {
+		case <-n.pool.ctx.Done():
+			n.flush()
+			return nil
+		case <-tick.C:
+			n.look(time.Now())
+			if n.idle() && n.pool.remove(n) {
+				return nil
+			}
+		case <-n.box.Ready():
+		}
+		batch = n.box.Take(batch)
+		for _, m := range batch {
+			n.handle(m)
+		}
+	}
+}
+
+// flush writes what was posted before the program ended.
+func (n *node) flush() {
+	for _, m := range n.box.Take(nil) {
+		if r, ok := m.(release); ok {
+			n.release(r)
+		}
+	}
+}
+
+func (n *node) idle() bool {
+	return n.listed() == control.Gone && len(n.attempts)+len(n.standing)+len(n.owed) == 0 && !n.dialling
+}
+
+func (n *node) listed() control.State { return control.State(n.state.Load()) }
+
+func (n *node) handle(m any) {
+	switch m := m.(type) {
+	case setUp:
+		a := &attempt{Attempt: m.Attempt}
+		n.attempts[a.ID] = a
+		n.send(a)
+	case giveUp:
+		n.giveUp(m)
+	case stands:
+		n.standing[m.id] = &stand{at: time.Now()}
+		n.connect() // notes on it need a connection
+	case release:
+		n.release(m)
+	case setRung:
+		n.setRung(m)
+	case probe:
+		n.probe()
+	case listChange:
+		n.listChanged(m)
+	case dialled:
+		n.dialled(m)
+	case closed:
+		n.closed(m)
+	case heard:
+		n.heard(m)
+	}
+}
+
+func (n *node) report(r broker.Report) {
+	r.Server = n.server
+	n.pool.cfg.Report(r)
+}
+
+func (n *node) end(a *attempt, status control.Status) {
+	n.drop(a)
+	n.report(broker.Report{Kind: broker.Ended, ID: a.ID, Number: a.Number, Status: status})
+}
+
+func (n *node) drop(a *attempt) {
+	delete(n.attempts, a.ID)
+	if a.conn != nil {
+		a.conn.open--
+	}
+}
+
+// Connections.
+
+// usable returns a connection for a new set-up. One that has long been idle
+// may be closing at the node: what is written there may or may not have run.
+func (n *node) usable() *conn {
+	for i := len(n.conns) - 1; i >= 0; i-- {
+		c := n.conns[i]
+		if n.fresh(c) && c.open < n.pool.cfg.StreamsPerConn {
+			return c
+		}
+	}
+	return nil
+}
+
+func (n *node) fresh(c *conn) bool {
+	return !c.dead && (c.open > 0 || time.Since(c.touched) < n.pool.cfg.ConnIdle*6/10)
+}
+
+// live returns any connection that can carry a message on a session.
+func (n *node) live(first *conn) *conn {
+	if first != nil && n.fresh(first) {
+		return first
+	}
+	for i := len(n.conns) - 1; i >= 0; i-- {
+		if n.fresh(n.conns[i]) {
+			return n.conns[i]
+		}
+	}
+	return nil
+}
+
+// connect begins to open a connection, if none is being opened.
+func (n *node) connect() {
+	if n.dialling {
+		return
+	}
+	n.dialling = true
+	if n.pool.conns.Add(1) > int64(n.pool.cfg.MaxConns) {
+		n.pool.conns.Add(-1)
+		n.box.Force(dialled{err: errors.New("media: no descriptors left")})
+		return
+	}
+	addr, timeout := n.addr, n.pool.cfg.ConnectTimeout
+	n.pool.group.Go(func() error {
+		nc, err := (&net.Dialer{Timeout: timeout}).DialContext(n.pool.ctx, "tcp", addr)
+		if err != nil {
+			n.pool.conns.Add(-1)
+			n.box.Force(dialled{err: err})
+			return nil
+		}
+		c := &conn{Conn: nc, touched: time.Now()}
+		n.box.Force(dialled{conn: c})
+		// Reading waits for nothing: the actor has been told of c before.
+		err = c.read(n.pool.cfg.Fields, func(m message) bool { return n.box.Put(heard{c, m}) })
+		c.Close()
+		n.pool.conns.Add(-1)
+		n.box.Force(closed{c, err})
+		return nil
+	})
+}
+
+func (n *node) dialled(m dialled) {
+	n.dialling = false
+	if m.err != nil {
+		n.dialFailed(m.err)
+		return
+	}
+	n.heardAt = time.Now()
+	n.conns = append(n.conns, m.conn)
+	n.trim()
+	for _, a := range n.attempts {
+		if a.conn == nil {
+			n.send(a)
+		}
+	}
+	for id, o := range n.owed {
+		if n.tearDown(m.conn, id, o.cause) {
+			delete(n.owed, id)
+		}
+	}
+	for ; n.asked > 0; n.asked-- {
+		n.probe()
+	}
+}
+
+// trim closes the oldest connection that no set-up needs.
+func (n *node) trim() {
+	if len(n.conns) <= mostConns {
+		return
+	}
+	for _, c := range n.conns[:len(n.conns)-1] {
+		if c.open == 0 {
+			n.close(c)
+			return
+		}
+	}
+}
+
+// dialFailed ends what waited for the connection: nothing of it ran.
+func (n *node) dialFailed(err error) {
+	for _, a := range n.attempts {
+		if a.conn == nil {
+			n.end(a, control.ConnectFailed)
+		}
+	}
+	for ; n.asked > 0; n.asked-- {
+		n.report(broker.Report{Kind: broker.Probed, Status: control.ConnectFailed})
+	}
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	if refused && len(n.conns) == 0 || time.Since(n.heardAt) > lostTime {
+		n.lost(fmt.Sprint("no connection: ", err))
+	}
+}
+
+// lost ends what stands at a node whose process is gone or that can't be
+// reached: it says nothing itself, and the viewers must hear within seconds.
+func (n *node) lost(why string) {
+	n.cut(why, time.Now())
+	clear(n.owed)
+	for _, c := range n.conns {
+		n.close(c)
+	}
+}
+
+// cut ends the sessions that stood before a time.
+func (n *node) cut(why string, before time.Time) {
+	if len(n.standing) > 0 {
+		n.pool.cfg.Log.Info("node lost", zap.String("node", n.id), zap.String("why", why),
+			zap.Int("sessions", len(n.standing)))
+	}
+	for id, s := range n.standing {
+		if s.at.Before(before) {
+			delete(n.standing, id)
+			n.report(broker.Report{Kind: broker.Ended, ID: id, Status: control.Reset, Cause: broker.CauseCut})
+		}
+	}
+}
+
+// close gives a connection up; its reader tells when it is gone.
+func (n *node) close(c *conn) {
+	c.dead = true
+	c.Close()
+}
+
+// closed ends what was open on a connection. A byte of each SETUP has left, so
+// each may have run.
+func (n *node) closed(m closed) {
+	m.conn.dead = true
+	for i, c := range n.conns {
+		if c == m.conn {
+			n.conns = append(n.conns[:i], n.conns[i+1:]...)
+			break
+		}
+	}
+	for _, a := range n.attempts {
+		if a.conn == m.conn {
+			n.end(a, control.Reset)
+		}
+	}
+	for _, s := range n.standing {
+		if s.conn == m.conn {
+			s.conn = nil
+		}
+	}
+	if m.err != io.EOF && !errors.Is(m.err, net.ErrClosed) {
+		n.pool.cfg.Log.Info("connection broke", zap.String("node", n.id), zap.Error(m.err))
+	}
+	if len(n.standing) > 0 && len(n.conns) == 0 {
+		n.connect() // releases come on the next connection that opens
+	}
+}
+
+// look gives up late probes and looks after silent nodes.
+func (n *node) look(now time.Time) {
+	for id, until := range n.probes {
+		if now.After(until) {
+			delete(n.probes, id)
+			n.report(broker.Report{Kind: broker.Probed, Status: control.TimedOut})
+		}
+	}
+	for id, o := range n.owed {
+		if now.After(o.until) {
+			delete(n.owed, id)
+		}
+	}
+	// A machine that is cut off keeps its connections open and silent: only a
+	// new one tells. It also brings releases that found no connection.
+	quiet := now.Sub(n.heardAt) > silentTime
+	if len(n.owed) > 0 || len(n.standing) > 0 && (quiet || len(n.conns) == 0) {
+		n.connect()
+	}
+}
+
+func (n *node) listChanged(m listChange) {
+	if !m.named || n.listed() == control.Gone {
+		n.lost("off the list")
+		return
+	}
+	if m.member.Up.After(n.up) {
+		n.up = m.member.Up
+		n.cut("restarted", n.up)
+	}
+	n.addr = m.member.Addr
+}
+
+// Attempts and sessions.
+
+// send writes a SETUP, or has it wait for a connection.
+func (n *node) send(a *attempt) {
+	for {
+		// Guard: the list binds up to the first byte. Nothing that was queued or
+		// waited for a connection goes to a node that drains or is gone.
+		if n.listed() != control.Ready || time.Now().After(a.Deadline) {
+			n.end(a, control.Moot)
+			return
+		}
+		c := n.usable()
+		if c == nil {
+			n.connect()
+			return
+		}
+		left := max(time.Until(a.Deadline), time.Millisecond)
+		id := sessionName(a.ID)
+		b := rtsp.AppendRequest(n.buf[:0], "SETUP", "rtsp://media/"+a.Key)
+		b = rtsp.AppendHeader(b, "CSeq", strconv.Itoa(seqSetUp))
+		b = rtsp.AppendHeader(b, "Session", id)
+		b = rtsp.AppendHeader(b, "Call-Kind", n.pool.cfg.Classes[a.Class])
+		b = rtsp.AppendHeader(b, "Answer-Within", strconv.FormatInt(left.Milliseconds(), 10))
+		b = rtsp.AppendHeader(b, "X-Quality", strconv.Itoa(a.Rung))
+		b = rtsp.Finish(b, a.Description)
+		n.buf = b
+		sent, err := c.write(b)
+		if err == nil {
+			a.conn = c
+			c.open++
+			return
+		}
+		n.close(c)
+		if sent > 0 { // a part has left: it may have run
+			n.end(a, control.Reset)
+			return
+		}
+	}
+}
+
+// giveUp ends an attempt. It is out until its TEARDOWN is written, or until its
+// connection, whose end gives it up too, is closed.
+func (n *node) giveUp(m giveUp) {
+	a := n.attempts[m.id]
+	if a == nil || a.Number != m.number {
+		return // its end or answer is on its way to the broker
+	}
+	status := control.Cancelled
+	switch {
+	case m.timedOut && a.conn == nil:
+		status = control.ConnectFailed // not a byte has left
+	case m.timedOut:
+		status = control.TimedOut
+	}
+	if a.conn != nil {
+		n.tearDown(a.conn, a.ID, 0)
+	}
+	n.end(a, status)
+}
+
+// tearDown writes a TEARDOWN on c, or closes c, which says as much.
+func (n *node) tearDown(c *conn, id control.SessionID, cause int) bool {
+	name := sessionName(id)
+	b := rtsp.AppendRequest(n.buf[:0], "TEARDOWN", "rtsp://media/"+name)
+	b = rtsp.AppendHeader(b, "CSeq", strconv.Itoa(seqTearDown))
+	b = rtsp.AppendHeader(b, "Session", name)
+	if cause > 0 {
+		b = rtsp.AppendHeader(b, "Reason", "cause="+strconv.Itoa(cause))
+	}
+	return n.write(c, rtsp.Finish(b, nil))
+}
+
+func (n *node) write(c *conn, b []byte) bool {
+	n.buf = b
+	if _, err := c.write(b); err != nil {
+		n.close(c)
+		return false
+	}
+	return true
+}
+
+// release ends a session that stands, on any connection.
+func (n *node) release(m release) {
+	s := n.standing[m.id]
+	if s == nil {
+		return // the node has ended it
+	}
+	delete(n.standing, m.id)
+	for c := n.live(s.conn); c != nil; c = n.live(nil) {
+		if n.tearDown(c, m.id, m.cause) {
+			return
+		}
+	}
+	if n.listed() != control.Gone {
+		n.owed[m.id] = owed{m.cause, time.Now().Add(keepRelease)}
+		n.connect()
+	}
+}
+
+func (n *node) setRung(m setRung) {
+	var first *conn
+	if a := n.attempts[m.id]; a != nil {
+		if a.Rung = m.rung; a.conn == nil {
+			return // its SETUP will say so
+		}
+		first = a.conn
+	} else if s := n.standing[m.id]; s != nil {
+		first = s.conn
+	} else {
+		return
+	}
+	c := n.live(first)
+	if c == nil {
+		n.connect()
+		return
+	}
+	name := sessionName(m.id)
+	b := rtsp.AppendRequest(n.buf[:0], "SET_PARAMETER", "rtsp://media/"+name)
+	b = rtsp.AppendHeader(b, "CSeq", strconv.Itoa(seqOther))
+	b = rtsp.AppendHeader(b, "Session", name)
+	b = rtsp.AppendHeader(b, "X-Quality", strconv.Itoa(m.rung))
+	n.write(c, rtsp.Finish(b, nil))
+}
+
+func (n *node) probe() {
+	c := n.usable()
+	if c == nil {
+		n.asked++
+		n.connect()
+		return
+	}
+	id := rand.Uint64()
+	b := rtsp.AppendRequest(n.buf[:0], "OPTIONS", "rtsp://media/load")
+	b = rtsp.AppendHeader(b, "CSeq", strconv.Itoa(seqTest))
+	b = rtsp.AppendHeader(b, "Session", sessionName(control.SessionID(id)))
+	if n.write(c, rtsp.Finish(b, nil)) {
+		n.probes[id] = time.Now().Add(probeTime)
+		return
+	}
+	n.report(broker.Report{Kind: broker.Probed, Status: control.Reset})
+}
+
+// heard takes one message of the node.
+func (n *node) heard(m heard) {
+	now := time.Now()
+	n.heardAt, m.conn.touched = now, now
+	switch m.kind {
+	case answered:
+		n.answered(m)
+	case tested:
+		if _, ok := n.probes[uint64(m.id)]; ok {
+			delete(n.probes, uint64(m.id))
+			status := control.OK
+			if m.status != 200 {
+				status = control.Errored
+			}
+			n.report(broker.Report{Kind: broker.Probed, Status: status, Load: m.load})
+		}
+	case ended:
+		n.released(m)
+	case noted:
+		n.report(broker.Report{Kind: broker.Noted, ID: m.id, Note: m.note, Value: m.value})
+	}
+}
+
+// answered takes a final answer to a SETUP.
+func (n *node) answered(m heard) {
+	a := n.attempts[m.id]
+	if a == nil || a.conn != m.conn {
+		if _, stands := n.standing[m.id]; m.status == 200 && !stands {
+			// Guard: a late 200 to a set-up that was given up is torn down.
+			n.tearDown(m.conn, m.id, 0)
+		}
+		return
+	}
+	n.drop(a)
+	if m.status == 200 {
+		n.standing[m.id] = &stand{conn: m.conn, at: time.Now()}
+		n.report(broker.Report{Kind: broker.Started, ID: m.id, Number: a.Number, Load: m.load, Description: m.description})
+		return
+	}
+	status := control.Errored
+	switch m.status {
+	case 453:
+		status = control.Full
+	case 454:
+		status = control.Moot
+	case 504:
+		status = control.Reset
+	}
+	n.report(broker.Report{Kind: broker.Ended, ID: m.id, Number: a.Number, Status: status, Load: m.load})
+}
+
+// released takes a node's TEARDOWN of a session or of a set-up.
+func (n *node) released(m heard) {
+	if a := n.attempts[m.id]; a != nil {
+		n.end(a, control.Reset)
+		return
+	}
+	if n.standing[m.id] == nil {
+		return
+	}
+	delete(n.standing, m.id)
+	status := control.Reset
+	switch m.cause {
+	case broker.CauseEnded:
+		status = control.OK
+	case broker.CauseCancelled:
+		status = control.Cancelled
+	}
+	n.report(broker.Report{Kind: broker.Ended, ID: m.id, Status: status, Cause: m.cause, Load: m.load})
+}
+
+func sessionName(id control.SessionID) string {
+	const digits = "0123456789abcdef"
+	var b [16]byte
+	for i := range b {
+		b[i] = digits[uint64(id)>>(60-4*i)&15]
+	}
+	return string(b[:])
+}
--- /dev/null
+++ b/internal/media/pool.go
@@ -0,0 +1,178 @@
+// Package media carries attempts to media nodes over RTSP. Each node has an
+// actor with a mailbox, which owns the node's connections, attempts, standing
+// sessions and probes.
+package media
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"millethinge/control"
+	"millethinge/internal/broker"
+	"millethinge/internal/directory"
+	"millethinge/internal/mailbox"
+)
+
+// boxLimit bounds the attempts and probes that wait before one node. Ends,
+// releases and rungs are bounded by the sessions and always pass.
+const boxLimit = 1024
+
+// Config is what a Pool needs.
+type Config struct {
+	Classes        []string // names by class
+	Fields         []string // of load reports
+	ConnectTimeout time.Duration
+	ConnIdle       time.Duration // after which nodes close a connection
+	StreamsPerConn int           // set-ups open on one connection
+	MaxConns       int           // connections to all nodes
+	Report         func(broker.Report)
+	Log            *zap.Logger
+}
+
+// Pool is the nodes of the list.
+type Pool struct {
+	cfg   Config
+	group *errgroup.Group
+	ctx   context.Context
+	conns atomic.Int64
+
+	mu    sync.RWMutex
+	nodes map[control.Server]*node
+}
+
+// NewPool returns a Pool whose actors run in group until ctx ends.
+func NewPool(ctx context.Context, group *errgroup.Group, cfg Config) *Pool {
+	return &Pool{cfg: cfg, group: group, ctx: ctx, nodes: make(map[control.Server]*node)}
+}
+
+// Apply takes a change to the list. A node's state binds its next SETUP as soon
+// as Apply returns, before the module hears of it.
+func (p *Pool) Apply(c directory.Change) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.Full {
+		listed := make(map[control.Server]bool, len(c.Members))
+		for _, m := range c.Members {
+			listed[m.Server] = true
+		}
+		for s, n := range p.nodes {
+			if !listed[s] {
+				n.state.Store(int32(control.Gone))
+				n.box.Force(listChange{})
+			}
+		}
+	}
+	for _, m := range c.Members {
+		n := p.nodes[m.Server]
+		if n == nil {
+			if m.State == control.Gone {
+				continue
+			}
+			n = newNode(p, m)
+			p.nodes[m.Server] = n
+			n.state.Store(int32(m.State))
+			p.group.Go(n.run)
+			continue
+		}
+		n.state.Store(int32(m.State))
+		n.box.Force(listChange{member: m, named: true})
+	}
+}
+
+// remove drops a node that is gone and has nothing left to do.
+func (p *Pool) remove(n *node) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !n.box.Empty() || control.State(n.state.Load()) != control.Gone {
+		return false
+	}
+	delete(p.nodes, n.server)
+	return true
+}
+
+// post hands a message to a node's actor.
+func (p *Pool) post(s control.Server, m any, bounded bool) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	n := p.nodes[s]
+	switch {
+	case n == nil:
+		return false
+	case bounded:
+		return n.box.Put(m)
+	}
+	n.box.Force(m)
+	return true
+}
+
+// The calls of broker.Nodes.
+
+func (p *Pool) SetUp(s control.Server, a broker.Attempt) bool { return p.post(s, setUp{a}, true) }
+
+func (p *Pool) GiveUp(s control.Server, id control.SessionID, number int, timedOut bool) {
+	p.post(s, giveUp{id, number, timedOut}, false)
+}
+
+func (p *Pool) Stands(s control.Server, id control.SessionID) bool {
+	return p.post(s, stands{id}, false)
+}
+
+func (p *Pool) Release(s control.Server, id control.SessionID, cause int) {
+	p.post(s, release{id, cause}, false)
+}
+
+func (p *Pool) SetRung(s control.Server, id control.SessionID, rung int) {
+	p.post(s, setRung{id, rung}, false)
+}
+
+func (p *Pool) Probe(s control.Server) {
+	if !p.post(s, probe{}, true) {
+		p.cfg.Report(broker.Report{Kind: broker.Probed, Server: s, Status: control.Moot})
+	}
+}
+
+// Messages to a node's actor.
+type (
+	setUp  struct{ broker.Attempt }
+	giveUp struct {
+		id       control.SessionID
+		number   int
+		timedOut bool
+	}
+	stands  struct{ id control.SessionID }
+	release struct {
+		id    control.SessionID
+		cause int
+	}
+	setRung struct {
+		id   control.SessionID
+		rung int
+	}
+	probe      struct{}
+	listChange struct {
+		member directory.Member
+		named  bool
+	}
+	dialled struct {
+		conn *conn
+		err  error
+	}
+	closed struct {
+		conn *conn
+		err  error
+	}
+	heard struct {
+		conn *conn
+		message
+	}
+)
+
+var _ broker.Nodes = (*Pool)(nil)
+
+// box is a node's mailbox.
+type box = mailbox.Box[any]
--- /dev/null
+++ b/internal/rtsp/rtsp.go
@@ -0,0 +1,165 @@
+// Package rtsp reads and writes the RTSP/1.0 messages (RFC 2326) that session
+// managers and media nodes exchange.
+package rtsp
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+)
+
+// MaxMessage is the longest message, head and body.
+const MaxMessage = 16 << 10
+
+// ErrSyntax reports bytes that are no RTSP message.
+var ErrSyntax = errors.New("rtsp: malformed message")
+
+var (
+	version    = []byte("RTSP/1.0")
+	lineEnd    = []byte("\r\n")
+	headEnd    = []byte("\r\n\r\n")
+	lengthName = []byte("Content-Length")
+)
+
+// Header is one header line.
+type Header struct{ Name, Value []byte }
+
+// Message is a request, which has a Method, or a response, which has a Status.
+// Its slices are those of the buffer that was parsed.
+type Message struct {
+	Method  []byte
+	URI     []byte
+	Status  int
+	Headers []Header
+	Body    []byte
+}
+
+// Get returns the value of a header, or nil.
+func (m *Message) Get(name string) []byte {
+	for _, h := range m.Headers {
+		if len(h.Name) == len(name) && bytes.EqualFold(h.Name, []byte(name)) {
+			return h.Value
+		}
+	}
+	return nil
+}
+
+// Parse reads one message from the start of b into m, whose header list it
+// reuses. It returns the message's length, or 0 if b ends before it does.
+func Parse(b []byte, m *Message) (int, error) {
+	headers := m.Headers[:0]
+	*m = Message{}
+	head := bytes.Index(b, headEnd)
+	if head < 0 {
+		if len(b) >= MaxMessage {
+			return 0, ErrSyntax
+		}
+		return 0, nil
+	}
+	line, rest, _ := bytes.Cut(b[:head+len(lineEnd)], lineEnd)
+	if err := m.startLine(line); err != nil {
+		return 0, err
+	}
+	length, seen := 0, false
+	for len(rest) > 0 {
+		line, rest, _ = bytes.Cut(rest, lineEnd)
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t") {
+			return 0, ErrSyntax
+		}
+		value = bytes.TrimSpace(value)
+		headers = append(headers, Header{name, value})
+		if bytes.EqualFold(name, lengthName) {
+			n, ok := Uint(value)
+			if !ok || seen && n != uint64(length) || n > MaxMessage {
+				return 0, ErrSyntax
+			}
+			length, seen = int(n), true
+		}
+	}
+	m.Headers = headers
+	total := head + len(headEnd) + length
+	if total > MaxMessage {
+		return 0, ErrSyntax
+	}
+	if len(b) < total {
+		return 0, nil
+	}
+	m.Body = b[head+len(headEnd) : total]
+	return total, nil
+}
+
+func (m *Message) startLine(line []byte) error {
+	a, rest, ok := bytes.Cut(line, []byte(" "))
+	if !ok || len(a) == 0 {
+		return ErrSyntax
+	}
+	if bytes.Equal(a, version) {
+		code, _, _ := bytes.Cut(rest, []byte(" "))
+		n, ok := Uint(code)
+		if !ok || n < 100 || n > 599 {
+			return ErrSyntax
+		}
+		m.Status = int(n)
+		return nil
+	}
+	uri, v, ok := bytes.Cut(rest, []byte(" "))
+	if !ok || len(uri) == 0 || !bytes.Equal(v, version) {
+		return ErrSyntax
+	}
+	m.Method, m.URI = a, uri
+	return nil
+}
+
+// Uint reads a decimal number of at most 9 digits.
+func Uint(b []byte) (uint64, bool) {
+	if len(b) == 0 || len(b) > 9 {
+		return 0, false
+	}
+	n := uint64(0)
+	for _, c := range b {
+		if c < '0' || c > '9' {
+			return 0, false
+		}
+		n = n*10 + uint64(c-'0')
+	}
+	return n, true
+}
+
+// AppendRequest starts a request; headers and Finish follow.
+func AppendRequest(b []byte, method, uri string) []byte {
+	b = append(b, method...)
+	b = append(b, ' ')
+	b = append(b, uri...)
+	return append(b, " RTSP/1.0\r\n"...)
+}
+
+// AppendStatus starts a response.
+func AppendStatus(b []byte, code int, reason string) []byte {
+	b = append(b, "RTSP/1.0 "...)
+	b = strconv.AppendInt(b, int64(code), 10)
+	b = append(b, ' ')
+	b = append(b, reason...)
+	return append(b, lineEnd...)
+}
+
+// AppendHeader adds a header line. It drops line ends, so that a value can't
+// begin a line of its own.
+func AppendHeader(b []byte, name, value string) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	for i := 0; i < len(value); i++ {
+		if c := value[i]; c != '\r' && c != '\n' {
+			b = append(b, c)
+		}
+	}
+	return append(b, lineEnd...)
+}
+
+// Finish adds the body's length, the end of the head, and the body.
+func Finish(b, body []byte) []byte {
+	b = append(b, "Content-Length: "...)
+	b = strconv.AppendInt(b, int64(len(body)), 10)
+	b = append(b, headEnd...)
+	return append(b, body...)
+}
--- /dev/null
+++ b/internal/stream/stream.go
@@ -0,0 +1,71 @@
+// Package stream reads messages off a byte stream. A message is a slice of
+// the buffer that it was read into, valid until the next one is asked for.
+package stream
+
+import (
+	"errors"
+	"io"
+)
+
+// ErrTooLong reports a message that does not end within the buffer.
+var ErrTooLong = errors.New("stream: message too long")
+
+// Reader cuts a stream into messages.
+type Reader struct {
+	r          io.Reader
+	buf        []byte
+	size       int
+	start, end int
+}
+
+// NewReader returns a Reader for messages of at most size bytes. The buffer
+// starts small: most connections carry short messages only.
+func NewReader(r io.Reader, size int) *Reader {
+	return &Reader{r: r, buf: make([]byte, min(size, 2048)), size: size}
+}
+
+// Next calls parse on what has been read, reading on until parse consumes
+// something: it returns how many bytes it took, 0 if it needs more.
+func (r *Reader) Next(parse func([]byte) (int, error)) error {
+	for {
+		if r.start < r.end {
+			n, err := parse(r.buf[r.start:r.end])
+			if err != nil {
+				return err
+			}
+			if n > 0 {
+				r.start += n
+				return nil
+			}
+		}
+		if err := r.fill(); err != nil {
+			return err
+		}
+	}
+}
+
+func (r *Reader) fill() error {
+	if r.start > 0 {
+		r.end = copy(r.buf, r.buf[r.start:r.end])
+		r.start = 0
+	}
+	if r.end == len(r.buf) {
+		if len(r.buf) >= r.size {
+			return ErrTooLong
+		}
+		r.buf = append(make([]byte, 0, min(2*len(r.buf), r.size)), r.buf...)
+		r.buf = r.buf[:cap(r.buf)]
+	}
+	n, err := r.r.Read(r.buf[r.end:])
+	r.end += n
+	if n > 0 {
+		return nil
+	}
+	if err == nil {
+		err = io.ErrNoProgress
+	}
+	if err == io.EOF && r.end > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return err
+}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -402,7 +402,7 @@
 		e.u8(a.Rung)
 	case codeDeny:
 		e.u64(uint64(a.Session))
-		e.f64(0) // no advice
+		e.f64(a.WaitS)
 	case codeFail:
 		e.u64(uint64(a.Session))
 	case codeWake:
