Offer the session API to players over WebSocket, with exchanges and a mixed-session test

The second front shares the messages and the core with the first.

Found on the way: on links of very many slots the module's search ran without end (search and payoff, control.go) and held its actor; the stack of a program that would not end after SIGTERM showed it. The search is now bounded at 256 slots, with a test.

--- a/cmd/millethinge/main.go
+++ b/cmd/millethinge/main.go
@@ -22,6 +22,7 @@
 	"millethinge/internal/directory"
 	"millethinge/internal/front/jsonl"
 	"millethinge/internal/front/message"
+	"millethinge/internal/front/websocket"
 	"millethinge/internal/media"
 )
 
@@ -41,14 +42,31 @@
 	log = log.With(zap.String("name", cfg.Name))
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	if err := run(cfg, stop, log); err != nil {
+	at, err := listen(cfg)
+	if err == nil {
+		err = run(cfg, at, stop, log)
+	}
+	if err != nil {
 		log.Error("ended", zap.Error(err))
 		os.Exit(1)
 	}
 }
 
+// listeners are the fronts' sockets.
+type listeners struct{ viewers, players net.Listener }
+
+func listen(cfg config.Config) (at listeners, err error) {
+	if at.viewers, err = net.Listen("tcp", cfg.Listen); err != nil {
+		return at, err
+	}
+	if w := cfg.Operator.WebSocket; w != nil {
+		at.players, err = net.Listen("tcp", w.Listen)
+	}
+	return at, err
+}
+
 // run serves until a signal comes and all that was taken is answered.
-func run(cfg config.Config, stop <-chan os.Signal, log *zap.Logger) error {
+func run(cfg config.Config, at listeners, stop <-chan os.Signal, log *zap.Logger) error {
 	root, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, ctx := errgroup.WithContext(root)
@@ -81,20 +99,23 @@
 	for _, t := range cfg.Operator.Teams {
 		teams = append(teams, t.Name)
 	}
-	listener, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return err
+	catalog := message.Catalog{
+		Classes: cfg.Classes, Teams: teams,
+		Cells: cfg.Settings.Cells, MaxRung: len(cfg.Settings.RatesKB) - 1,
 	}
-	front := &jsonl.Front{
-		Core: core, MaxConns: cfg.ViewerConns(), Log: log,
-		Catalog: message.Catalog{
-			Classes: cfg.Classes, Teams: teams,
-			Cells: cfg.Settings.Cells, MaxRung: len(cfg.Settings.RatesKB) - 1,
-		},
+	front := &jsonl.Front{Core: core, Catalog: catalog, MaxConns: cfg.ViewerConns(), Log: log}
+	if w := cfg.Operator.WebSocket; w != nil {
+		// Both fronts share what viewers may hold of the descriptors.
+		front.MaxConns = (cfg.ViewerConns() + 1) / 2
+		second := &websocket.Front{
+			Core: core, Catalog: catalog, Path: w.Path, Grace: w.Grace,
+			MaxConns: cfg.ViewerConns() / 2, Log: log,
+		}
+		group.Go(func() error { return second.Serve(ctx, at.players) })
 	}
 	group.Go(func() error { return core.Run(ctx) })
 	group.Go(func() error { return coordinator.Run(ctx) })
-	group.Go(func() error { return front.Serve(ctx, listener) })
+	group.Go(func() error { return front.Serve(ctx, at.viewers) })
 	group.Go(func() error {
 		select {
 		case s := <-stop:
@@ -111,7 +132,7 @@
 		}
 		return nil
 	})
-	log.Info("serving", zap.String("listen", listener.Addr().String()))
+	log.Info("serving", zap.String("listen", cfg.Listen))
 	return group.Wait()
 }
 
--- a/control/control.go
+++ b/control/control.go
@@ -19,6 +19,7 @@
 	rescoreS  = 10  // s between re-scorings of the reserves
 	ratesS    = 30  // s of arrivals that a re-scoring measures
 	priorHold = 60  // s, a session's length until ends are seen; long errs to caution in raising rungs
+	mostSlots = 256 // slots that a re-scoring searches; it takes their square in time
 	staleS    = 12  // s after which what a report said of others' load is dropped
 
 	// Rungs in play.
@@ -54,6 +55,7 @@
 	floodTimes = 6     // times a tenant's share from which arrivals are a flood; few of them are within it
 	floodBurst = 5     // arrivals of a tenant that a front takes at once; they come by chance
 	tinyS      = 0.001 // s by which a wake may come early, clocks being rounded
+	awayS      = 1     // s that a refused viewer is asked to stay away, till reports tell of change
 	marginS    = 0.03  // s before a deadline at which nothing more is begun
 )
 
@@ -120,12 +122,6 @@
 	return c.out
 }
 
-func (c *Controller) emit(a Action) { c.out = append(c.out, a) }
-
-func (c *Controller) wake(d float64, token uint32) {
-	c.emit(Action{Kind: ActWake, DelayS: d, Token: token})
-}
-
 // The server list.
 
 func (c *Controller) onList(e Event) {
@@ -309,7 +305,7 @@
 		return
 	}
 	if e.Class < 0 || e.Class >= len(c.set.Classes) {
-		c.emit(Action{Kind: ActDeny, Session: e.Session})
+		c.emit(Action{Kind: ActDeny, Session: e.Session, WaitS: awayS})
 		return
 	}
 	s := c.newSession(e)
@@ -446,12 +442,6 @@
 	return s.askTil > c.now
 }
 
-func (c *Controller) probe(sv *server) {
-	sv.probeAt = c.now + probeS
-	c.probesOut++
-	c.emit(Action{Kind: ActProbe, Server: sv.Server})
-}
-
 // holders lists the usable holders of a session's title, least used first. If
 // a cold one is only held back by its pace, it also tells when it may be used.
 func (c *Controller) holders(s *session) (list []candidate, later float64) {
@@ -571,12 +561,6 @@
 	}
 }
 
-func (c *Controller) setRung(s *session, rung int) {
-	s.rung, s.changedAt = rung, c.now
-	c.account(s.server)
-	c.emit(Action{Kind: ActRung, Session: s.id, Rung: rung})
-}
-
 func (c *Controller) send(s *session, sv *server, rung int) {
 	k := &c.set.Classes[s.class]
 	if s.attempt > 0 && c.set.BudgetWindowS > 0 {
@@ -596,7 +580,11 @@
 
 // answer gives the final answer to a session that has no attempt out.
 func (c *Controller) answer(s *session, kind ActionKind) {
-	c.emit(Action{Kind: kind, Session: s.id})
+	a := Action{Kind: kind, Session: s.id}
+	if kind == ActDeny {
+		a.WaitS = awayS
+	}
+	c.emit(a)
 	s.gone = true
 	delete(c.sessions, s.id)
 }
@@ -870,8 +858,13 @@
 	for k := range lambda {
 		c.mix[k] = lambda[k] / total
 	}
-	for k, r := range search(n, lambda, 1/c.hold(), v, q) {
-		c.reserve[k] = float64(r)
+	// Servers of more slots are scored by a part of them, at that part of the load.
+	part := min(mostSlots/c.meanSlots, 1)
+	for k := range lambda {
+		lambda[k] *= part
+	}
+	for k, r := range search(min(n, mostSlots), lambda, 1/c.hold(), v, q) {
+		c.reserve[k] = float64(r) / part
 	}
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -600,3 +600,25 @@
 		t.Errorf("reserves %v in overload", b.c.reserve)
 	}
 }
+
+// A server of very many slots must not hold the front up: the search takes
+// their square in time.
+func TestRescoreIsBounded(t *testing.T) {
+	set := settings()
+	set.LinkKB, set.RackKB, set.KindStreams = 1e12, 1e12, []int{1 << 30}
+	b := newBed(t, set)
+	b.arrive(1, 0)
+	b.now += 2 * rescoreS
+	b.do(Event{Kind: EvTimer, Token: tokenTick})
+	if b.c.meanSlots < 1e6 {
+		t.Errorf("%v slots scored", b.c.meanSlots)
+	}
+}
+
+func TestRefusalSaysWhenToComeAgain(t *testing.T) {
+	b := newBed(t, settings())
+	b.list(ListFull)
+	if a := find(b.arrive(1, 0), ActDeny); a == nil || a.WaitS != awayS {
+		t.Errorf("refusal %+v", a)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -248,3 +248,21 @@
 	s.server, s.playing = nil, false
 	c.account(sv)
 }
+
+func (c *Controller) emit(a Action) { c.out = append(c.out, a) }
+
+func (c *Controller) wake(d float64, token uint32) {
+	c.emit(Action{Kind: ActWake, DelayS: d, Token: token})
+}
+
+func (c *Controller) probe(sv *server) {
+	sv.probeAt = c.now + probeS
+	c.probesOut++
+	c.emit(Action{Kind: ActProbe, Server: sv.Server})
+}
+
+func (c *Controller) setRung(s *session, rung int) {
+	s.rung, s.changedAt = rung, c.now
+	c.account(s.server)
+	c.emit(Action{Kind: ActRung, Session: s.id, Rung: rung})
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -20,7 +20,7 @@
 	envName     = "BALANCER_NAME"
 	envListen   = "BALANCER_LISTEN"
 	envConfig   = "BALANCER_CONFIG"
-	envOperator = "MILLETHINGE_OPERATOR" // the operator's file; absent: none
+	envOperator = "MILLETHINGE_OPERATOR" // the operator's file; absent: operatorFile
 )
 
 // Defaults of what the platform may leave out.
@@ -31,6 +31,7 @@
 	defaultConnect     = 250 * time.Millisecond
 	defaultPerConn     = 32
 	leastSockets       = 32
+	operatorFile       = "deploy/operator.json" // read if it is there
 	platformFile       = "the platform's configuration"
 	viewersPart        = 3 // viewers may hold one part in so many of the descriptors
 	descriptorsForSelf = 24
@@ -88,14 +89,19 @@
 	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
 		return c, fmt.Errorf("listen (or %s): %w", envListen, err)
 	}
-	if path := getenv(envOperator); path != "" {
-		text, err := os.ReadFile(path)
-		if err != nil {
-			return c, fmt.Errorf("%s: %w", envOperator, err)
-		}
-		if c.Operator, err = ParseOperator(text, c.Classes); err != nil {
-			return c, fmt.Errorf("%s: %w", envOperator, err)
-		}
+	path, given := getenv(envOperator), true
+	if path == "" {
+		path, given = operatorFile, false
+	}
+	text, err = os.ReadFile(path)
+	if os.IsNotExist(err) && !given {
+		return c, nil
+	}
+	if err != nil {
+		return c, fmt.Errorf("%s: %w", envOperator, err)
+	}
+	if c.Operator, err = ParseOperator(text, c.Classes); err != nil {
+		return c, fmt.Errorf("%s: %w", path, err)
 	}
 	return c, nil
 }
--- a/internal/front/jsonl/jsonl.go
+++ b/internal/front/jsonl/jsonl.go
@@ -11,32 +11,21 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"millethinge/control"
 	"millethinge/internal/broker"
 	"millethinge/internal/directory"
 	"millethinge/internal/front/message"
-	"millethinge/internal/mailbox"
+	"millethinge/internal/front/peer"
 	"millethinge/internal/stream"
 )
 
-const (
-	outLimit   = 512             // messages that wait for one connection
-	writeTime  = 2 * time.Second // after which a reader is too slow
-	keepUnsent = 8 * time.Second // how long an end waits for an open connection
-)
-
-// Core is the broker, as the front sees it.
-type Core interface {
-	Submit(broker.Request) bool
-	End(broker.ViewerEnd) bool
-	Lost(broker.Client)
-}
+// keepUnsent is how long an end waits for an open connection.
+const keepUnsent = 8 * time.Second
 
 // Front serves viewers on one address.
 type Front struct {
-	Core     Core
+	Core     message.Core
 	Catalog  message.Catalog
 	MaxConns int
 	Log      *zap.Logger
@@ -52,49 +41,20 @@
 	until time.Time
 }
 
-// conn is one viewers' connection. A goroutine reads, another writes what is
-// in its mailbox.
+// conn is one viewers' connection.
 type conn struct {
-	net.Conn
+	*peer.Conn
 	front *Front
-	out   *mailbox.Box[[]byte]
-	gone  chan struct{}
-	once  sync.Once
 }
 
 // Serve accepts until ctx ends.
 func (f *Front) Serve(ctx context.Context, l net.Listener) error {
-	group, ctx := errgroup.WithContext(ctx)
-	stop := context.AfterFunc(ctx, func() { l.Close() })
-	defer stop()
-	slots := make(chan struct{}, f.MaxConns)
-	for {
-		// Guard: descriptors beyond the viewers' part are not accepted.
-		select {
-		case slots <- struct{}{}:
-		case <-ctx.Done():
-			return group.Wait()
-		}
-		nc, err := l.Accept()
-		if err != nil {
-			<-slots
-			if ctx.Err() != nil {
-				return group.Wait()
-			}
-			f.Log.Warn("accept", zap.Error(err))
-			time.Sleep(10 * time.Millisecond)
-			continue
-		}
-		c := &conn{Conn: nc, front: f, out: mailbox.New[[]byte](outLimit), gone: make(chan struct{})}
+	return peer.Serve(ctx, l, f.MaxConns, f.Log, func(_ context.Context, p *peer.Conn) {
+		c := &conn{p, f}
 		f.add(c)
-		group.Go(func() error { c.write(ctx); return nil })
-		group.Go(func() error {
-			c.read()
-			f.remove(c)
-			<-slots
-			return nil
-		})
-	}
+		c.read()
+		f.remove(c)
+	})
 }
 
 // add makes c known, and sends it the ends that found no connection.
@@ -114,7 +74,6 @@
 	f.mu.Lock()
 	f.conns = slices.DeleteFunc(f.conns, func(o *conn) bool { return o == c })
 	f.mu.Unlock()
-	c.close()
 	f.Core.Lost(c)
 }
 
@@ -140,54 +99,7 @@
 }
 
 func (c *conn) send(r broker.Reply) bool {
-	return c.put(append(message.AppendReply(nil, r), '\n'))
-}
-
-// put queues a line. A reader that lets too many wait loses its connection.
-func (c *conn) put(line []byte) bool {
-	select {
-	case <-c.gone:
-		return false
-	default:
-	}
-	if !c.out.Put(line) {
-		c.close()
-		return false
-	}
-	return true
-}
-
-func (c *conn) close() {
-	c.once.Do(func() {
-		close(c.gone)
-		c.Close()
-	})
-}
-
-// write is the connection's actor: it writes what its mailbox holds.
-func (c *conn) write(ctx context.Context) {
-	var batch [][]byte
-	for {
-		last := false
-		select {
-		case <-c.gone:
-			return
-		case <-ctx.Done():
-			last = true // what is queued still goes out
-		case <-c.out.Ready():
-		}
-		batch = c.out.Take(batch)
-		if len(batch) > 0 {
-			c.SetWriteDeadline(time.Now().Add(writeTime))
-			if _, err := c.Write(bytes.Join(batch, nil)); err != nil {
-				last = true
-			}
-		}
-		if last {
-			c.close()
-			return
-		}
-	}
+	return c.Put(append(message.AppendReply(nil, r), '\n'))
 }
 
 // read handles lines until the connection ends or sends what is no message.
@@ -226,7 +138,7 @@
 		id, err := message.ParseID(m.ID)
 		return err == nil && c.front.Core.End(broker.ViewerEnd{ID: id, Cause: m.Cause})
 	case "ping":
-		return c.put(append(message.AppendPong(nil, m.ID, true), '\n'))
+		return c.Put(append(message.AppendPong(nil, m.ID, true), '\n'))
 	}
 	return true // progress and released mean nothing
 }
--- a/internal/front/message/message.go
+++ b/internal/front/message/message.go
@@ -330,6 +330,13 @@
 	return b
 }
 
+// Core is the broker, as fronts see it.
+type Core interface {
+	Submit(broker.Request) bool
+	End(broker.ViewerEnd) bool
+	Lost(broker.Client)
+}
+
 // Catalog is what a set-up's names mean at this deployment.
 type Catalog struct {
 	Classes []string
--- /dev/null
+++ b/internal/front/websocket/frame.go
@@ -0,0 +1,136 @@
+package websocket
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"millethinge/internal/front/message"
+)
+
+// Opcodes (RFC 6455, section 5.2).
+const (
+	opContinue = 0
+	opText     = 1
+	opBinary   = 2
+	opClose    = 8
+	opPing     = 9
+	opPong     = 10
+)
+
+// Close codes (section 7.4.1).
+const (
+	closeNormal   = 1000
+	closeAway     = 1001
+	closeProtocol = 1002
+	closeKind     = 1003
+	closeNoCode   = 1005 // stands for a close frame without one; never sent
+	closeInvalid  = 1007
+	closeTooBig   = 1009
+)
+
+// closeError ends a connection with a close code.
+type closeError int
+
+func (e closeError) Error() string { return fmt.Sprintf("websocket: closing with %d", int(e)) }
+
+// frame is one frame of a client. Its payload is a slice of the buffer that
+// was parsed, unmasked in place.
+type frame struct {
+	fin     bool
+	op      byte
+	payload []byte
+}
+
+const maxControl = 125
+
+// parseFrame reads one masked frame from the start of b. It returns the frame's
+// length, or 0 if b ends before it does; only then is b left as it was.
+func parseFrame(b []byte, f *frame) (int, error) {
+	if len(b) < 2 {
+		return 0, nil
+	}
+	f.fin, f.op = b[0]&0x80 != 0, b[0]&0x0f
+	if b[0]&0x70 != 0 || b[1]&0x80 == 0 { // no extensions; clients mask
+		return 0, closeError(closeProtocol)
+	}
+	size, at := uint64(b[1]&0x7f), 2
+	if f.op >= opClose {
+		if !f.fin || size > maxControl || f.op > opPong {
+			return 0, closeError(closeProtocol)
+		}
+	} else if f.op > opBinary {
+		return 0, closeError(closeProtocol)
+	}
+	switch size {
+	case 126:
+		if len(b) < 4 {
+			return 0, nil
+		}
+		size, at = uint64(binary.BigEndian.Uint16(b[2:])), 4
+		if size < 126 {
+			return 0, closeError(closeProtocol)
+		}
+	case 127:
+		if len(b) < 10 {
+			return 0, nil
+		}
+		size, at = binary.BigEndian.Uint64(b[2:]), 10
+		if size < 1<<16 || size>>63 != 0 {
+			return 0, closeError(closeProtocol)
+		}
+	}
+	if size > message.Max {
+		return 0, closeError(closeTooBig)
+	}
+	end := at + 4 + int(size)
+	if len(b) < end {
+		return 0, nil
+	}
+	mask := b[at : at+4]
+	f.payload = b[at+4 : end]
+	for i := range f.payload {
+		f.payload[i] ^= mask[i&3]
+	}
+	return end, nil
+}
+
+// appendFrame adds one unmasked frame of a server.
+func appendFrame(b []byte, op byte, payload []byte) []byte {
+	b = append(b, 0x80|op)
+	switch n := len(payload); {
+	case n < 126:
+		b = append(b, byte(n))
+	case n < 1<<16:
+		b = append(b, 126)
+		b = binary.BigEndian.AppendUint16(b, uint16(n))
+	default:
+		b = append(b, 127)
+		b = binary.BigEndian.AppendUint64(b, uint64(n))
+	}
+	return append(b, payload...)
+}
+
+// appendClose adds a close frame.
+func appendClose(b []byte, code int) []byte {
+	if code == closeNoCode {
+		return appendFrame(b, opClose, nil)
+	}
+	return appendFrame(b, opClose, binary.BigEndian.AppendUint16(nil, uint16(code)))
+}
+
+// closeCode reads a close frame's payload.
+func closeCode(p []byte) (int, error) {
+	if len(p) == 0 {
+		return closeNoCode, nil
+	}
+	if len(p) == 1 {
+		return 0, closeError(closeProtocol)
+	}
+	code := int(binary.BigEndian.Uint16(p))
+	switch {
+	case code >= 3000 && code < 5000,
+		code >= closeNormal && code <= closeKind, code >= closeInvalid && code <= 1014:
+		return code, nil
+	}
+	return 0, closeError(closeProtocol)
+}
--- /dev/null
+++ b/internal/standin/node.go
@@ -0,0 +1,140 @@
+// Package standin is a media node to try and test the program with. It plays
+// nothing: it answers as its Decide says and keeps a bill.
+package standin
+
+import (
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"millethinge/internal/rtsp"
+	"millethinge/internal/stream"
+)
+
+// Verdict is what a node does with one SETUP.
+type Verdict struct {
+	Status int           // of the answer; 0: none is ever sent
+	Delay  time.Duration // before the answer
+	Length time.Duration // after which the node ends the session; 0: never
+}
+
+// Bill counts what nodes did, over all of them.
+type Bill struct {
+	mu    sync.Mutex
+	SetUp map[string]int // SETUPs by session
+	Ran   map[string]int // of these, the ones that stood
+	Class map[string]int // sessions that stood, by class
+	Ended map[string]int // TEARDOWNs by session
+}
+
+// NewBill returns an empty Bill.
+func NewBill() *Bill {
+	return &Bill{SetUp: map[string]int{}, Ran: map[string]int{}, Class: map[string]int{}, Ended: map[string]int{}}
+}
+
+// Read calls f while the bill stands still.
+func (b *Bill) Read(f func(*Bill)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f(b)
+}
+
+// Node answers on the connections it is given.
+type Node struct {
+	// Decide says what becomes of the nth SETUP of a session, from 1.
+	Decide func(session string, nth int) Verdict
+	Bill   *Bill
+}
+
+// Serve accepts until l is closed.
+func (n *Node) Serve(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go n.talk(c)
+	}
+}
+
+// line is a connection that several sessions write to.
+type line struct {
+	net.Conn
+	mu sync.Mutex
+}
+
+func (l *line) send(b []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Write(b) // a manager that is gone needs no answer
+}
+
+func (n *Node) talk(nc net.Conn) {
+	defer nc.Close()
+	c := &line{Conn: nc}
+	in := stream.NewReader(nc, rtsp.MaxMessage)
+	var m rtsp.Message
+	for {
+		if err := in.Next(func(b []byte) (int, error) { return rtsp.Parse(b, &m) }); err != nil {
+			return
+		}
+		session := string(m.Get("Session"))
+		switch string(m.Method) {
+		case "SETUP":
+			n.setUp(c, session, string(m.Get("Call-Kind")), string(m.Body))
+		case "TEARDOWN":
+			n.Bill.Read(func(b *Bill) { b.Ended[session]++ })
+			c.send(reply(200, "2", session, ""))
+		case "OPTIONS":
+			b := rtsp.AppendStatus(nil, 200, "OK")
+			b = rtsp.AppendHeader(b, "CSeq", string(m.Get("CSeq")))
+			b = rtsp.AppendHeader(b, "Session", session)
+			c.send(rtsp.Finish(rtsp.AppendHeader(b, "Link-State", "load_share:0.1;x1:0.1"), nil))
+		}
+	}
+}
+
+func (n *Node) setUp(c *line, session, class, description string) {
+	var v Verdict
+	n.Bill.Read(func(b *Bill) {
+		b.SetUp[session]++
+		v = n.Decide(session, b.SetUp[session])
+		if v.Status == 200 {
+			b.Ran[session]++
+			b.Class[class]++
+		}
+	})
+	if v.Status == 0 {
+		return
+	}
+	act := func() {
+		if v.Status != 200 {
+			c.send(reply(v.Status, "1", session, ""))
+			return
+		}
+		c.send(reply(200, "1", session, "node;"+description))
+		if v.Length > 0 {
+			time.AfterFunc(v.Length, func() { c.send(end(session)) })
+		}
+	}
+	if v.Delay > 0 {
+		time.AfterFunc(v.Delay, act)
+		return
+	}
+	act()
+}
+
+func reply(code int, seq, session, body string) []byte {
+	b := rtsp.AppendStatus(nil, code, strconv.Itoa(code))
+	b = rtsp.AppendHeader(b, "CSeq", seq)
+	b = rtsp.AppendHeader(b, "Session", session)
+	return rtsp.Finish(b, []byte(body))
+}
+
+func end(session string) []byte {
+	b := rtsp.AppendRequest(nil, "TEARDOWN", "rtsp://media/"+session)
+	b = rtsp.AppendHeader(b, "CSeq", "4")
+	b = rtsp.AppendHeader(b, "Session", session)
+	return rtsp.Finish(rtsp.AppendHeader(b, "Reason", "cause=16"), nil)
+}
