--- a/cmd/millethinge/main.go
+++ b/cmd/millethinge/main.go
@@ -86,14 +86,22 @@
 	if err != nil {
 		return err
 	}
+	nodes := directory.NewList(func(c directory.Change) {
+		pool.Apply(c) // first: a drain binds what is queued at once
+		core.List(list(c))
+	})
 	coordinator := &directory.Coordinator{
 		Addr: cfg.Coordinator, Known: cfg.Known, Names: cfg.Names, Log: log,
-		Sink: func(c directory.Change) {
-			pool.Apply(c) // first: a drain binds what is queued at once
-			core.List(list(c))
-		},
+		Sink: nodes.Source("coordinator"),
 	}
 	coordinator.Start()
+	nodes.Settle()
+	if d := cfg.Operator.DNSSD; d != nil {
+		discovery := &directory.DNSSD{
+			Server: d.Server, Service: d.Service, Names: cfg.Names, Log: log, Sink: nodes.Source("dns-sd"),
+		}
+		group.Go(func() error { return discovery.Run(ctx) })
+	}
 
 	teams := cfg.Tenants
 	for _, t := range cfg.Operator.Teams {
@@ -114,6 +122,7 @@
 		group.Go(func() error { return second.Serve(ctx, at.players) })
 	}
 	group.Go(func() error { return core.Run(ctx) })
+	group.Go(func() error { return nodes.Run(ctx) })
 	group.Go(func() error { return coordinator.Run(ctx) })
 	group.Go(func() error { return front.Serve(ctx, at.viewers) })
 	group.Go(func() error {
@@ -139,8 +148,9 @@
 // lastWrites is left for queued answers to be written before the end.
 const lastWrites = 50 * time.Millisecond
 
+// list is a change as the module takes it.
 func list(c directory.Change) broker.List {
-	l := broker.List{Full: c.Full}
+	var l broker.List
 	for _, m := range c.Members {
 		l.Entries = append(l.Entries, m.Entry)
 	}
--- a/internal/broker/api.go
+++ b/internal/broker/api.go
@@ -120,6 +120,5 @@
 
 // List is a change to the list of media nodes.
 type List struct {
-	Full    bool
 	Entries []control.Entry
 }
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -145,11 +145,7 @@
 	case Report:
 		b.report(m)
 	case List:
-		kind := control.ListDelta
-		if m.Full {
-			kind = control.ListFull
-		}
-		b.tell(control.Event{Kind: control.EvList, List: kind, Entries: m.Entries})
+		b.tell(control.Event{Kind: control.EvList, List: control.ListDelta, Entries: m.Entries})
 	case drain:
 		if b.stopping.IsZero() {
 			b.stopping = b.clock.now().Add(drainTime)
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,124 @@
+package directory
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"millethinge/control"
+	"millethinge/internal/dns"
+	"millethinge/internal/standin"
+)
+
+const patience = 20 * time.Second
+
+var names = Names{Zones: []string{"east", "west"}, Kinds: []string{"std"}}
+
+func show(c Change) string {
+	var out []string
+	for _, m := range c.Members {
+		out = append(out, fmt.Sprint(m.ID, " ", m.Addr, " ", m.State, " ", m.Zone, " ", m.Cell, " ", m.Weight, " ", m.SinceS))
+	}
+	slices.Sort(out)
+	return strings.Join(out, "; ")
+}
+
+// node is the records of one instance.
+func node(name, state string, port uint16) []dns.Record {
+	full := name + "._rtsp._tcp.media.example"
+	return []dns.Record{
+		{Name: "_rtsp._tcp.media.example", Type: dns.TypePTR, TTL: 1, Target: full},
+		{Name: full, Type: dns.TypeSRV, TTL: 1, Port: port, Target: "host.example"},
+		{Name: full, Type: dns.TypeTXT, TTL: 1, Text: []string{"ZONE=west", "kind=std", "cell=3", "size=1.5", "up=2000", "state=" + state, "zone=east"}},
+		{Name: "host.example", Type: dns.TypeA, TTL: 1, Addr: netip.MustParseAddr("127.0.0.1")},
+	}
+}
+
+func TestServiceDiscovery(t *testing.T) {
+	udp, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer udp.Close()
+	tcp, err := net.Listen("tcp", udp.LocalAddr().String())
+	if err != nil {
+		t.Skip("the port is taken for TCP")
+	}
+	defer tcp.Close()
+	var server standin.DNS
+	go server.Serve(udp, tcp)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	changes := make(chan Change, 10)
+	d := &DNSSD{Server: udp.LocalAddr().String(), Service: "_rtsp._tcp.Media.example.", Names: names,
+		Sink: func(c Change) { changes <- c }, Log: zap.NewNop()}
+	expect := func(want string) {
+		t.Helper()
+		select {
+		case c := <-changes:
+			if got := show(c); got != want {
+				t.Fatalf("got  %s\nwant %s", got, want)
+			}
+		case <-time.After(patience):
+			t.Fatalf("no change; want %s", want)
+		}
+	}
+	a, b := "a._rtsp._tcp.media.example 127.0.0.1:1001 ", "b._rtsp._tcp.media.example 127.0.0.1:1002 "
+	server.Set(false, node("a", "ready", 1001)...)
+	go d.Run(ctx)
+	expect(a + "1 1 3 1.5 2")
+	server.Set(true, append(node("a", "ready", 1001), node("b", "ready", 1002)...)...) // by TCP
+	expect(b + "1 1 3 1.5 2")
+	server.Set(false, append(node("a", "draining", 1001), node("b", "ready", 1002)...)...)
+	expect(a + "0 1 3 1.5 2")
+	server.Set(false, node("b", "ready", 1002)...)
+	expect(a + "2 1 3 1.5 2")
+	server.Set(false)
+	expect(b + "2 1 3 1.5 2")
+}
+
+// While the server says nothing, what it said stands until its TTL.
+func TestRecordsExpire(t *testing.T) {
+	var last Change
+	d := &DNSSD{known: map[string]instance{}, Sink: func(c Change) { last = c }}
+	now := time.Now()
+	m := Member{ID: "a", Entry: control.Entry{State: control.Ready}}
+	d.apply(now, map[string]instance{"a": {m, now.Add(time.Minute)}}, true)
+	last = Change{}
+	if d.apply(now.Add(59*time.Second), nil, false); len(last.Members) != 0 {
+		t.Errorf("changed early: %s", show(last))
+	}
+	if d.apply(now.Add(61*time.Second), nil, false); len(last.Members) != 1 || last.Members[0].State != control.Gone {
+		t.Errorf("not expired: %s", show(last))
+	}
+}
+
+func TestBadTextNamesTheKey(t *testing.T) {
+	if _, err := (&DNSSD{}).member("a", []string{"cell=x"}); err == nil || !strings.Contains(err.Error(), "cell") {
+		t.Error(err)
+	}
+}
+
+// A whole list of one source removes nothing that another named.
+func TestSourcesShareTheList(t *testing.T) {
+	var got []string
+	l := NewList(func(c Change) { got = append(got, show(c)) })
+	member := func(id string) Member {
+		return Member{ID: id, Entry: control.Entry{Server: ServerOf(id), State: control.Ready}}
+	}
+	l.Source("one")(Change{Full: true, Members: []Member{member("a"), member("b")}})
+	l.Source("two")(Change{Full: true, Members: []Member{member("c")}})
+	l.Source("one")(Change{Full: true, Members: []Member{member("b")}})
+	l.Settle()
+	want := []string{"a  1 0 0 0 0; b  1 0 0 0 0", "c  1 0 0 0 0", "a  2 0 0 0 0; b  1 0 0 0 0"}
+	if !slices.Equal(got, want) {
+		t.Errorf("%q", got)
+	}
+}
--- /dev/null
+++ b/internal/directory/list.go
@@ -0,0 +1,86 @@
+package directory
+
+import (
+	"context"
+
+	"millethinge/control"
+	"millethinge/internal/mailbox"
+)
+
+// listBox is not a limit that matters: sources tell of changes a few times a
+// second, and what they tell must not be dropped.
+const listBox = 1024
+
+// List is the list's actor. Its sources post what they hear; it alone tells the
+// sink, in changes only, so that a whole list of one source removes nothing that
+// another named.
+type List struct {
+	sink  Sink
+	box   *mailbox.Box[news]
+	owner map[control.Server]owned
+}
+
+type news struct {
+	source string
+	change Change
+}
+
+type owned struct {
+	source string
+	member Member
+}
+
+// NewList returns a List that tells sink.
+func NewList(sink Sink) *List {
+	return &List{sink: sink, box: mailbox.New[news](listBox), owner: make(map[control.Server]owned)}
+}
+
+// Source returns where a source of that name posts its changes.
+func (l *List) Source(name string) Sink {
+	return func(c Change) { l.box.Force(news{name, c}) }
+}
+
+// Settle tells what has been posted so far. It is for the start, before Run.
+func (l *List) Settle() {
+	for _, n := range l.box.Take(nil) {
+		l.apply(n)
+	}
+}
+
+// Run is the actor's loop.
+func (l *List) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-l.box.Ready():
+			l.Settle()
+		}
+	}
+}
+
+func (l *List) apply(n news) {
+	out := Change{Members: n.change.Members}
+	if n.change.Full {
+		named := make(map[control.Server]bool)
+		for _, m := range n.change.Members {
+			named[m.Server] = true
+		}
+		for s, o := range l.owner {
+			if o.source == n.source && !named[s] {
+				o.member.State = control.Gone
+				out.Members = append(out.Members, o.member)
+			}
+		}
+	}
+	for _, m := range out.Members {
+		if m.State == control.Gone {
+			delete(l.owner, m.Server)
+		} else {
+			l.owner[m.Server] = owned{n.source, m}
+		}
+	}
+	if len(out.Members) > 0 {
+		l.sink(out)
+	}
+}
--- /dev/null
+++ b/internal/front/message/message_test.go
@@ -0,0 +1,90 @@
+package message
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+	"unicode/utf8"
+
+	"millethinge/internal/broker"
+)
+
+const setUp = `{"type":"setup", "id":"9b1f03aa5c7e2d41","fields":{"class":"feed","left":1500,"key":"7f3a9c21e0b4d655",` +
+	`"extras":"home:4;copies:3;top:2;at:s-1"},"sdp":"a\r\n\u00e9\ud83d\ude00\"\/","other":[1,{"x":null}],"cause":3}`
+
+var catalog = Catalog{Classes: []string{"clip", "feed"}, Teams: []string{"a", "b"}, Cells: 8, MaxRung: 3}
+
+func TestSetup(t *testing.T) {
+	var m Message
+	if err := Parse([]byte(setUp), &m); err != nil {
+		t.Fatal(err)
+	}
+	r, err := catalog.Setup(&m, time.Unix(9, 0))
+	if err != nil || r.ID != 0x9b1f03aa5c7e2d41 || r.Class != 1 || r.Left != 1500*time.Millisecond || r.Team != -1 ||
+		r.Title != 0x7f3a9c21e0b4d655 || r.Home != 4 || r.Span != 3 || r.MaxRung != 2 || m.Cause != 3 ||
+		string(r.Description) != "a\r\né😀\"/" || string(m.At()) != "s-1" {
+		t.Errorf("%+v, %v", r, err)
+	}
+	for _, change := range [][2]string{
+		{"9b1f03aa5c7e2d41", "9b1f"}, {"9b1f03aa5c7e2d41", "9b1f03aa5c7e2d4g"}, {`"feed"`, `"x"`},
+		{"7f3a9c21e0b4d655", "no title"}, {`"left"`, `"tenant":"c","left"`},
+	} {
+		if err := Parse([]byte(strings.Replace(setUp, change[0], change[1], 1)), &m); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := catalog.Setup(&m, time.Time{}); err == nil {
+			t.Errorf("no error for %s", change[1])
+		}
+	}
+}
+
+func TestMalformed(t *testing.T) {
+	for _, s := range []string{
+		"", "{}", "[]", `{"type":1`, `{"type":"a"}x`, `{"type":"a",}`, `{"type":"a" "b":1}`, `{"type":"\x"}`, `{"type":"\u12"}`,
+		"{\"type\":\"a\n\"}", `{"type":"a","cause":-1}`, `{"type":"a","cause":"x"}`, `{"type":"a","fields":{"b":[1]}}`,
+		`{"type":"a","b":` + strings.Repeat("[", 40) + strings.Repeat("]", 40) + `}`, `{"type":"a","b":tru}`, `{"type":"a","b":1.2.3}`,
+	} {
+		if err := Parse([]byte(s), new(Message)); err == nil {
+			t.Errorf("no error for %q", s)
+		}
+	}
+}
+
+func TestReplies(t *testing.T) {
+	for _, e := range []struct {
+		r    broker.Reply
+		want string
+	}{
+		{broker.Reply{Kind: broker.Served, ID: 1, Description: []byte("a\"\r\n\x01")},
+			`{"type":"answer","id":"0000000000000001","fields":{},"sdp":"a\"\r\n\u0001"}`},
+		{broker.Reply{Kind: broker.Refused, ID: 1, Cause: 42, Wait: 250 * time.Millisecond},
+			`{"type":"release","id":"0000000000000001","fields":{"wait":"250"},"cause":42}`},
+		{broker.Reply{Kind: broker.Moved, ID: 1}, `{"type":"move","id":"0000000000000001","fields":{}}`},
+	} {
+		if got := AppendReply(nil, e.r); string(got) != e.want || !json.Valid(got) {
+			t.Errorf("%s, want %s", got, e.want)
+		}
+	}
+}
+
+// What is taken is JSON, and strings come out as encoding/json reads them.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(setUp))
+	f.Add([]byte(`{"type":"ping","id":"\ud800\ud800x"}`))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		keep := bytes.Clone(in)
+		var m Message
+		if Parse(in, &m) != nil {
+			return
+		}
+		var want map[string]any
+		if json.Unmarshal(keep, &want) != nil || !utf8.Valid(keep) {
+			return // laxer than JSON in numbers and bytes, which harms nobody
+		}
+		if name, ok := want["type"].(string); ok && name != string(m.Type) {
+			t.Errorf("%q: type %q, want %q", keep, m.Type, name)
+		}
+	})
+}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -92,7 +92,7 @@
 			length = n
 		}
 	}
-	m.Close = m.HasToken("Connection", "close")
+	m.Close = m.Close || m.HasToken("Connection", "close")
 	at := head + len(headEnd)
 	if m.HasToken("Transfer-Encoding", "chunked") {
 		return m.chunks(b, at, limit)
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -370,7 +370,7 @@
 }
 
 func (n *node) listChanged(m listChange) {
-	if !m.named || n.listed() == control.Gone {
+	if n.listed() == control.Gone {
 		n.lost("off the list")
 		return
 	}
--- a/internal/media/pool.go
+++ b/internal/media/pool.go
@@ -55,18 +55,6 @@
 func (p *Pool) Apply(c directory.Change) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.Full {
-		listed := make(map[control.Server]bool, len(c.Members))
-		for _, m := range c.Members {
-			listed[m.Server] = true
-		}
-		for s, n := range p.nodes {
-			if !listed[s] {
-				n.state.Store(int32(control.Gone))
-				n.box.Force(listChange{})
-			}
-		}
-	}
 	for _, m := range c.Members {
 		n := p.nodes[m.Server]
 		if n == nil {
@@ -80,7 +68,7 @@
 			continue
 		}
 		n.state.Store(int32(m.State))
-		n.box.Force(listChange{member: m, named: true})
+		n.box.Force(listChange{m})
 	}
 }
 
@@ -154,11 +142,8 @@
 		rung int
 	}
 	probe      struct{}
-	listChange struct {
-		member directory.Member
-		named  bool
-	}
-	dialled struct {
+	listChange struct{ member directory.Member }
+	dialled    struct {
 		conn *conn
 		err  error
 	}
