Carry out moves on both sides, and release sessions of an unreachable node after 3 s

Sessions across a cut were released 4.5 s and more after their node fell silent (lostTime, media/node.go). With looks from 2 s on, three failed connections are made by 3 s, so nothing is gained by waiting longer.

--- a/control/api.go
+++ b/control/api.go
@@ -189,6 +189,7 @@
 	ActProbe                     // Server
 	ActWatch                     // subscribe to list changes
 	ActRemark                    // Text
+	ActMove                      // Session: it ends here, and its viewer comes again
 )
 
 // Action is one thing that a front does.
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -208,6 +208,15 @@
 		b.timers.add(now.Add(seconds(a.DelayS)), timerWake, 0, a.Token)
 	case control.ActProbe:
 		b.nodes.Probe(a.Server)
+	case control.ActMove:
+		// Guard: a move ends the session on both sides. The module hears of the
+		// end after its present actions.
+		if s != nil && s.playing {
+			b.toldOver(s, Reply{Kind: Moved, ID: s.ID})
+			b.nodes.Release(s.server, s.ID, CauseCancelled)
+			b.Report(Report{Kind: Ended, Server: s.server, ID: s.ID, Number: s.attempt,
+				Status: control.Cancelled, Cause: CauseCancelled})
+		}
 	case control.ActRemark:
 		b.log.Info("module", zap.String("remark", a.Text))
 	}
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -207,6 +207,19 @@
 	}
 }
 
+func TestMoveEndsBothSides(t *testing.T) {
+	b, f := bed(t)
+	b.ask(f, 1, feed, -1, 0)
+	b.tells(1, Started, 0)
+	b.act(b.clock.now(), control.Action{Kind: control.ActMove, Session: 1})
+	for _, m := range b.inbox.Take(nil) {
+		b.handle(m)
+	}
+	if got := f.take(); got != "setup 1, served 1, moved 1, teardown 1" || len(b.sessions) != 0 {
+		t.Errorf("%s; %d sessions left", got, len(b.sessions))
+	}
+}
+
 // Without teams nothing binds.
 func TestNoTeams(t *testing.T) {
 	b, f := bed(t)
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -32,7 +32,7 @@
 	tickTime    = 100 * time.Millisecond
 	probeTime   = 300 * time.Millisecond  // a report that is later says little
 	silentTime  = 2 * time.Second         // after which a node with sessions is looked at again
-	lostTime    = 4500 * time.Millisecond // after which, with failed looks, it is lost
+	lostTime    = 3 * time.Second         // after which, with failed looks, it is lost
 	keepRelease = 10 * time.Second        // how long a release waits for a connection
 	mostConns   = 5                       // to one node
 )
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -44,6 +44,7 @@
 	codeRemark  = 8
 	codeDeny    = 9
 	codeFail    = 10
+	codeMove    = 13
 	codeHandOff = 14
 )
 
@@ -403,7 +404,7 @@
 	case codeDeny:
 		e.u64(uint64(a.Session))
 		e.f64(a.WaitS)
-	case codeFail:
+	case codeFail, codeMove:
 		e.u64(uint64(a.Session))
 	case codeWake:
 		e.f64(a.DelayS)
@@ -427,4 +428,5 @@
 	control.ActProbe:   codeAskLoad,
 	control.ActWatch:   codeWatch,
 	control.ActRemark:  codeRemark,
+	control.ActMove:    codeMove,
 }
