--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -30,11 +30,11 @@
 
 const (
 	tickTime    = 100 * time.Millisecond
-	probeTime   = 300 * time.Millisecond  // a report that is later says little
-	silentTime  = 2 * time.Second         // after which a node with sessions is looked at again
-	lostTime    = 3 * time.Second         // after which, with failed looks, it is lost
-	keepRelease = 10 * time.Second        // how long a release waits for a connection
-	mostConns   = 5                       // to one node
+	probeTime   = 300 * time.Millisecond // a report that is later says little
+	silentTime  = 2 * time.Second        // after which a node with sessions is looked at again
+	lostTime    = 3 * time.Second        // after which, with failed looks, it is lost
+	keepRelease = 10 * time.Second       // how long a release waits for a connection
+	mostConns   = 5                      // to one node
 )
 
 // node is the actor of one media node.
