--- a/internal/directory/coordinator.go
+++ b/internal/directory/coordinator.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	pollWait    = 4 * time.Second         // how long the coordinator may hold a poll
-	pollSlack   = 1500 * time.Millisecond // beyond it; then the connection is taken as dead
+	pollWait    = 2 * time.Second // how long the coordinator may hold a poll
+	pollSlack   = time.Second     // beyond it; then the connection is taken as dead
 	redialAfter = 200 * time.Millisecond
 	maxPoll     = 4 << 20 // bytes of an answer
 )
--- a/internal/front/jsonl/jsonl.go
+++ b/internal/front/jsonl/jsonl.go
@@ -94,7 +94,9 @@
 			return true
 		}
 	}
-	f.unsent = append(f.unsent, unsent{r, time.Now().Add(keepUnsent)})
+	now := time.Now()
+	f.unsent = slices.DeleteFunc(f.unsent, func(u unsent) bool { return now.After(u.until) })
+	f.unsent = append(f.unsent, unsent{r, now.Add(keepUnsent)})
 	return true
 }
 
--- /dev/null
+++ b/internal/header/header.go
@@ -0,0 +1,68 @@
+// Package header reads the header lines that RTSP and HTTP/1.1 share.
+package header
+
+import "bytes"
+
+var lineEnd = []byte("\r\n")
+
+// Field is one header line. Its slices are those of the buffer parsed.
+type Field struct{ Name, Value []byte }
+
+// List is a message's header.
+type List []Field
+
+// Parse adds the lines of b, each ending in CRLF, to l. It tells whether all
+// are well formed.
+func (l List) Parse(b []byte) (List, bool) {
+	for len(b) > 0 {
+		var line []byte
+		line, b, _ = bytes.Cut(b, lineEnd)
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t") {
+			return l, false
+		}
+		l = append(l, Field{name, bytes.TrimSpace(value)})
+	}
+	return l, true
+}
+
+// Get returns the value of the first field of that name, or nil.
+func (l List) Get(name string) []byte {
+	for _, f := range l {
+		if len(f.Name) == len(name) && bytes.EqualFold(f.Name, []byte(name)) {
+			return f.Value
+		}
+	}
+	return nil
+}
+
+// Length reads Content-Length: 0 if there is none. Several must agree.
+func (l List) Length() (int, bool) {
+	length, seen := 0, false
+	for _, f := range l {
+		if !bytes.EqualFold(f.Name, []byte("Content-Length")) {
+			continue
+		}
+		n, ok := Uint(f.Value)
+		if !ok || seen && int(n) != length {
+			return 0, false
+		}
+		length, seen = int(n), true
+	}
+	return length, true
+}
+
+// Uint reads a decimal number of at most 9 digits.
+func Uint(b []byte) (uint64, bool) {
+	if len(b) == 0 || len(b) > 9 {
+		return 0, false
+	}
+	n := uint64(0)
+	for _, c := range b {
+		if c < '0' || c > '9' {
+			return 0, false
+		}
+		n = n*10 + uint64(c-'0')
+	}
+	return n, true
+}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -5,6 +5,8 @@
 import (
 	"bytes"
 	"errors"
+
+	"millethinge/internal/header"
 )
 
 // ErrSyntax reports bytes that are no HTTP/1.1 message, or one too long.
@@ -17,29 +19,19 @@
 	headEnd = []byte("\r\n\r\n")
 )
 
-// Header is one header line.
-type Header struct{ Name, Value []byte }
-
 // Message is a request, which has a Method, or a response, which has a Status.
 // Its slices are those of the buffer that was parsed, but for a chunked body.
 type Message struct {
 	Method  []byte
 	Target  []byte
 	Status  int
-	Headers []Header
+	Headers header.List
 	Body    []byte
 	Close   bool // the sender closes the connection after it
 }
 
 // Get returns the value of the first header of that name, or nil.
-func (m *Message) Get(name string) []byte {
-	for _, h := range m.Headers {
-		if len(h.Name) == len(name) && bytes.EqualFold(h.Name, []byte(name)) {
-			return h.Value
-		}
-	}
-	return nil
-}
+func (m *Message) Get(name string) []byte { return m.Headers.Get(name) }
 
 // HasToken tells whether a header's comma-separated list has a token, in any
 // of its lines and whatever the case.
@@ -75,22 +67,13 @@
 	if !m.startLine(line) {
 		return 0, ErrSyntax
 	}
-	length := 0
-	for len(rest) > 0 {
-		line, rest, _ = bytes.Cut(rest, lineEnd)
-		name, value, ok := bytes.Cut(line, []byte(":"))
-		if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t") {
-			return 0, ErrSyntax
-		}
-		value = bytes.TrimSpace(value)
-		m.Headers = append(m.Headers, Header{name, value})
-		if bytes.EqualFold(name, []byte("Content-Length")) {
-			n, ok := number(value, 10)
-			if !ok || n > limit {
-				return 0, ErrSyntax
-			}
-			length = n
-		}
+	var ok bool
+	if m.Headers, ok = m.Headers.Parse(rest); !ok {
+		return 0, ErrSyntax
+	}
+	length, ok := m.Headers.Length()
+	if !ok || length > limit {
+		return 0, ErrSyntax
 	}
 	m.Close = m.Close || m.HasToken("Connection", "close")
 	at := head + len(headEnd)
--- a/internal/media/conn.go
+++ b/internal/media/conn.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"millethinge/control"
+	"millethinge/internal/header"
 	"millethinge/internal/rtsp"
 	"millethinge/internal/stream"
 )
@@ -33,6 +34,16 @@
 	return c.Write(b)
 }
 
+// retire ends the writing side. What the node has sent, or sends until it has
+// seen the end, is still read: a release that crosses the close is not lost.
+func (c *conn) retire(within time.Duration) {
+	c.dead = true
+	c.SetReadDeadline(time.Now().Add(within))
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		half.CloseWrite()
+	}
+}
+
 type messageKind uint8
 
 const (
@@ -80,7 +91,7 @@
 	m.id, m.status = control.SessionID(id), raw.Status
 	m.load = parseLoad(raw.Get("Link-State"), fields)
 	if raw.Status != 0 {
-		seq, _ := rtsp.Uint(raw.Get("CSeq"))
+		seq, _ := header.Uint(raw.Get("CSeq"))
 		switch {
 		case raw.Status < 200:
 		case seq == seqSetUp:
@@ -113,7 +124,7 @@
 // parseCause reads "cause=N"; without it the end is an ordinary one.
 func parseCause(b []byte) int {
 	_, v, _ := strings.Cut(string(b), "cause=")
-	if n, ok := rtsp.Uint([]byte(strings.TrimSpace(v))); ok {
+	if n, ok := header.Uint([]byte(strings.TrimSpace(v))); ok {
 		return int(n)
 	}
 	return 16
--- a/internal/media/media_test.go
+++ b/internal/media/media_test.go
@@ -175,3 +175,39 @@
 		}
 	}
 }
+
+// A connection that is retired is still read: a release may cross its end.
+func TestRetiredConnectionIsStillRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	near, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	far, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, _, _, _ := bed(t)
+	for range mostConns {
+		n.conns = append(n.conns, &conn{Conn: near, touched: time.Now()})
+	}
+	n.handle(dialled{conn: &conn{Conn: far}})
+	if first := n.conns[0]; !first.dead || n.fresh(first) {
+		t.Error("the oldest connection is still in use")
+	}
+	if _, err := far.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the node was not told: %v", err)
+	}
+	io.WriteString(far, "TEARDOWN rtsp://media/a RTSP/1.0\r\nSession: 0a\r\nReason: cause=16\r\n\r\n")
+	far.Close()
+	var got []message
+	n.conns[0].read(nil, func(m message) bool { got = append(got, m); return true })
+	if len(got) != 1 || got[0].kind != ended || got[0].id != 10 {
+		t.Errorf("read %+v", got)
+	}
+}
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -261,14 +261,17 @@
 	}
 }
 
-// trim closes the oldest connection that no set-up needs.
+// trim retires the oldest connection that no set-up needs.
 func (n *node) trim() {
-	if len(n.conns) <= mostConns {
-		return
+	live := 0
+	for _, c := range n.conns {
+		if !c.dead {
+			live++
+		}
 	}
-	for _, c := range n.conns[:len(n.conns)-1] {
-		if c.open == 0 {
-			n.close(c)
+	for _, c := range n.conns {
+		if live > mostConns && !c.dead && c.open == 0 {
+			c.retire(n.pool.cfg.ConnIdle)
 			return
 		}
 	}
--- a/internal/rtsp/rtsp.go
+++ b/internal/rtsp/rtsp.go
@@ -6,6 +6,8 @@
 	"bytes"
 	"errors"
 	"strconv"
+
+	"millethinge/internal/header"
 )
 
 // MaxMessage is the longest message, head and body.
@@ -15,34 +17,23 @@
 var ErrSyntax = errors.New("rtsp: malformed message")
 
 var (
-	version    = []byte("RTSP/1.0")
-	lineEnd    = []byte("\r\n")
-	headEnd    = []byte("\r\n\r\n")
-	lengthName = []byte("Content-Length")
+	version = []byte("RTSP/1.0")
+	lineEnd = []byte("\r\n")
+	headEnd = []byte("\r\n\r\n")
 )
 
-// Header is one header line.
-type Header struct{ Name, Value []byte }
-
 // Message is a request, which has a Method, or a response, which has a Status.
 // Its slices are those of the buffer that was parsed.
 type Message struct {
 	Method  []byte
 	URI     []byte
 	Status  int
-	Headers []Header
+	Headers header.List
 	Body    []byte
 }
 
 // Get returns the value of a header, or nil.
-func (m *Message) Get(name string) []byte {
-	for _, h := range m.Headers {
-		if len(h.Name) == len(name) && bytes.EqualFold(h.Name, []byte(name)) {
-			return h.Value
-		}
-	}
-	return nil
-}
+func (m *Message) Get(name string) []byte { return m.Headers.Get(name) }
 
 // Parse reads one message from the start of b into m, whose header list it
 // reuses. It returns the message's length, or 0 if b ends before it does.
@@ -60,24 +51,14 @@
 	if err := m.startLine(line); err != nil {
 		return 0, err
 	}
-	length, seen := 0, false
-	for len(rest) > 0 {
-		line, rest, _ = bytes.Cut(rest, lineEnd)
-		name, value, ok := bytes.Cut(line, []byte(":"))
-		if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t") {
-			return 0, ErrSyntax
-		}
-		value = bytes.TrimSpace(value)
-		headers = append(headers, Header{name, value})
-		if bytes.EqualFold(name, lengthName) {
-			n, ok := Uint(value)
-			if !ok || seen && n != uint64(length) || n > MaxMessage {
-				return 0, ErrSyntax
-			}
-			length, seen = int(n), true
-		}
+	var ok bool
+	if m.Headers, ok = headers.Parse(rest); !ok {
+		return 0, ErrSyntax
+	}
+	length, ok := m.Headers.Length()
+	if !ok || length > MaxMessage {
+		return 0, ErrSyntax
 	}
-	m.Headers = headers
 	total := head + len(headEnd) + length
 	if total > MaxMessage {
 		return 0, ErrSyntax
@@ -96,7 +77,7 @@
 	}
 	if bytes.Equal(a, version) {
 		code, _, _ := bytes.Cut(rest, []byte(" "))
-		n, ok := Uint(code)
+		n, ok := header.Uint(code)
 		if !ok || n < 100 || n > 599 {
 			return ErrSyntax
 		}
@@ -111,21 +92,6 @@
 	return nil
 }
 
-// Uint reads a decimal number of at most 9 digits.
-func Uint(b []byte) (uint64, bool) {
-	if len(b) == 0 || len(b) > 9 {
-		return 0, false
-	}
-	n := uint64(0)
-	for _, c := range b {
-		if c < '0' || c > '9' {
-			return 0, false
-		}
-		n = n*10 + uint64(c-'0')
-	}
-	return n, true
-}
-
 // AppendRequest starts a request; headers and Finish follow.
 func AppendRequest(b []byte, method, uri string) []byte {
 	b = append(b, method...)
