Answer repeated set-ups, keep the floor in the broker, and leave idle closing to nodes

Their logs show that nodes reset a connection whose writing side ended (retire, media/conn.go), so half-closing saves no release after all: up to 12 connections stay open until the node closes them as idle, which is more than 15 s of looks open.

From reading: a connection that came up just as its node's actor ended kept the program from exiting (connect, media/node.go); a set-up repeated under the same id on another connection got no answer, or took over the other front's session (rejoin, broker/session.go).

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -27,7 +27,7 @@
 	// drainTime is how long requests go on coming after SIGTERM.
 	drainTime = 900 * time.Millisecond
 	// tombstones bounds the final replies kept for players that reconnect.
-	tombstones = 4096
+	tombstones = 1 << 16
 	// tombstoneTime is how long such a reply is kept.
 	tombstoneTime = 30 * time.Second
 )
@@ -191,9 +191,10 @@
 		b.handOff(now, s, a)
 	case control.ActRung:
 		if s != nil {
-			s.rung = a.Rung
+			// Guard: no class plays under its floor, whatever the module says.
+			s.rung = max(a.Rung, b.set.Classes[s.Class].Floor)
 			if s.out || s.playing {
-				b.nodes.SetRung(s.server, s.ID, a.Rung)
+				b.nodes.SetRung(s.server, s.ID, s.rung)
 			}
 		}
 	case control.ActDeny:
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -30,7 +30,7 @@
 }
 func (f *fake) Stands(control.Server, control.SessionID) bool             { return true }
 func (f *fake) Release(s control.Server, id control.SessionID, cause int) { f.note("teardown %d", id) }
-func (f *fake) SetRung(control.Server, control.SessionID, int)            {}
+func (f *fake) SetRung(s control.Server, id control.SessionID, rung int)  { f.note("rung %d", rung) }
 func (f *fake) Probe(control.Server)                                      {}
 func (f *fake) Deliver(r Reply) bool {
 	f.note("%s %d", [...]string{"served", "refused", "failed", "over", "moved"}[r.Kind], r.ID)
@@ -207,6 +207,30 @@
 	}
 }
 
+func TestPaidSessionsKeepOffTheLowestRung(t *testing.T) {
+	b, f := bed(t)
+	b.ask(f, 1, clip, -1, 0)
+	b.tells(1, Started, 0)
+	b.act(b.clock.now(), control.Action{Kind: control.ActRung, Session: 1, Rung: 0})
+	if got := f.take(); got != "setup 1, served 1, rung 1" {
+		t.Error(got)
+	}
+}
+
+// A set-up that is repeated gets the answer that the first one gets; a session
+// of the other front can't be taken over.
+func TestRepeatedSetUp(t *testing.T) {
+	b, f := bed(t)
+	again, player := &fake{}, &fake{}
+	b.ask(f, 1, clip, -1, 0)
+	b.ask(player, 1, clip, -1, time.Minute)
+	b.ask(again, 1, clip, -1, 0)
+	b.tells(1, Started, 0)
+	if got := f.take() + "; " + player.take() + "; " + again.take(); got != "setup 1; failed 1; served 1" {
+		t.Error(got)
+	}
+}
+
 func TestMoveEndsBothSides(t *testing.T) {
 	b, f := bed(t)
 	b.ask(f, 1, feed, -1, 0)
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -48,6 +48,7 @@
 			return
 		}
 		s.playing, s.answered, s.server, s.attempt = true, true, r.Playing, 1
+		s.reply = Reply{Kind: Failed, ID: r.ID, Cause: CauseFailed} // to whoever asks for it anew
 		b.sessions[r.ID] = s
 		e.Kind, e.Server = control.EvOpen, r.Playing
 		e.LeftS = r.Left.Seconds()
@@ -67,14 +68,18 @@
 }
 
 // rejoin gives a running session to the connection that its player came back
-// on. The set-up under way goes on: none is begun again.
+// on, or that a viewer repeated its set-up on. The set-up under way goes on:
+// none is begun again, and the one answer goes there.
 func (b *Broker) rejoin(s *session, r Request) {
-	if r.Playing != 0 || s.Grace == 0 {
-		return // an 'at' names what is held already; viewers' ids are new each time
-	}
-	s.client = r.Client
-	if s.answered {
-		s.client.Deliver(s.reply)
+	switch {
+	case r.Playing != 0: // it names what is held already
+	case (s.Grace > 0) != (r.Grace > 0): // another front's session is not to be had
+		r.Client.Deliver(Reply{Kind: Failed, ID: r.ID, Cause: CauseFailed})
+	default:
+		s.client = r.Client
+		if s.answered {
+			s.client.Deliver(s.reply)
+		}
 	}
 }
 
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -1,6 +1,7 @@
 package media
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -34,7 +35,7 @@
 	silentTime  = 2 * time.Second        // after which a node with sessions is looked at again
 	lostTime    = 3 * time.Second        // after which, with failed looks, it is lost
 	keepRelease = 10 * time.Second       // how long a release waits for a connection
-	mostConns   = 5                      // to one node
+	mostConns   = 12                     // to one node; more than open between two closes as idle
 )
 
 // node is the actor of one media node.
@@ -100,7 +101,6 @@
 	for {
 		select {
 		case <-n.pool.ctx.Done():
-			n.flush()
 			return nil
 		case <-tick.C:
 			n.look(time.Now())
@@ -116,15 +116,6 @@
 	}
 }
 
-// flush writes what was posted before the program ended.
-func (n *node) flush() {
-	for _, m := range n.box.Take(nil) {
-		if r, ok := m.(release); ok {
-			n.release(r)
-		}
-	}
-}
-
 func (n *node) idle() bool {
 	return n.listed() == control.Gone && len(n.attempts)+len(n.standing)+len(n.owed) == 0 && !n.dialling
 }
@@ -227,6 +218,8 @@
 			return nil
 		}
 		c := &conn{Conn: nc, touched: time.Now()}
+		// The actor may have ended by now, and would not close it.
+		defer context.AfterFunc(n.pool.ctx, func() { nc.Close() })()
 		n.box.Force(dialled{conn: c})
 		// Reading waits for nothing: the actor has been told of c before.
 		err = c.read(n.pool.cfg.Fields, func(m message) bool { return n.box.Put(heard{c, m}) })
