--- /dev/null
+++ b/cmd/millethinge/discovery_test.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"millethinge/internal/dns"
+	"millethinge/internal/standin"
+)
+
+// TestDiscoveredNodeServes has the program find its only node by DNS-SD.
+func TestDiscoveredNodeServes(t *testing.T) {
+	l := loopback(t)
+	node := &standin.Node{Bill: standin.NewBill(), Decide: func(string, int) standin.Verdict { return standin.Verdict{Status: 200} }}
+	go node.Serve(l)
+	udp, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer udp.Close()
+	var server standin.DNS
+	const service, name = "_rtsp._tcp.media.example", "one._rtsp._tcp.media.example"
+	server.Set(false,
+		dns.Record{Name: service, Type: dns.TypePTR, TTL: 60, Target: name},
+		dns.Record{Name: name, Type: dns.TypeSRV, TTL: 60, Target: "h.example", Port: netip.MustParseAddrPort(l.Addr().String()).Port()},
+		dns.Record{Name: name, Type: dns.TypeTXT, TTL: 60, Text: []string{"zone=east", "kind=std", "cell=0"}},
+		dns.Record{Name: "h.example", Type: dns.TypeA, TTL: 60, Addr: netip.MustParseAddr("127.0.0.1")})
+	go server.Serve(udp, loopback(t))
+	p := start(t, "127.0.0.1:1", "", 1, fmt.Sprintf(`{"dns_sd": {"server": %q, "service": %q}}`, udp.LocalAddr(), service))
+	s := speak(t, p, false)
+	for n, until := 1, time.Now().Add(patience); ; n++ {
+		if err := s.say(setUpLine(n)); err != nil {
+			t.Fatal(err)
+		}
+		b, err := s.hear()
+		if err != nil || time.Now().After(until) {
+			t.Fatalf("not served: %q, %v", b, err)
+		}
+		if r, err := parseReply(b); err != nil || r.Type == "answer" {
+			if err != nil {
+				t.Fatal(err)
+			}
+			return
+		}
+		time.Sleep(10 * time.Millisecond) // the first answers of the DNS are still to come
+	}
+}
--- a/internal/broker/team.go
+++ b/internal/broker/team.go
@@ -6,6 +6,9 @@
 	"millethinge/control"
 )
 
+// capWait is how long a viewer should stay away whom a cap refuses for now.
+const capWait = time.Second
+
 // Team is one team's contract and budget.
 type Team struct {
 	Name     string
@@ -55,9 +58,9 @@
 	billed := b.set.Classes[s.Class].Effect != control.Idempotent
 	switch {
 	case len(l.Classes) > 0 && !l.Classes[s.Class]:
-		return 0, false
+		return capWait, false
 	case l.Standing > 0 && l.standing >= l.Standing:
-		return time.Second, false
+		return capWait, false
 	case billed && l.SetUps > 0 && l.setUps >= l.SetUps:
 		return l.since.Add(l.Period).Sub(now), false
 	}
--- a/internal/front/jsonl/jsonl.go
+++ b/internal/front/jsonl/jsonl.go
@@ -52,8 +52,8 @@
 	return peer.Serve(ctx, l, f.MaxConns, f.Log, func(_ context.Context, p *peer.Conn) {
 		c := &conn{p, f}
 		f.add(c)
+		defer f.remove(c)
 		c.read()
-		f.remove(c)
 	})
 }
 
--- a/internal/front/peer/peer.go
+++ b/internal/front/peer/peer.go
@@ -77,8 +77,11 @@
 		case <-c.out.Ready():
 		}
 		batch = c.out.Take(batch)
-		if bye := c.bye.Load(); bye != nil && ctx.Err() != nil {
-			batch = append(batch, *bye)
+		if ctx.Err() != nil {
+			last = true
+			if bye := c.bye.Load(); bye != nil {
+				batch = append(batch, *bye)
+			}
 		}
 		if len(batch) == 0 {
 			continue
@@ -123,7 +126,18 @@
 		var both sync.WaitGroup
 		both.Add(2)
 		group.Go(func() error { defer both.Done(); c.write(ctx); return nil })
-		group.Go(func() error { defer both.Done(); handle(ctx, c); c.Finish(); return nil })
+		group.Go(func() error {
+			defer both.Done()
+			defer c.Finish()
+			defer func() {
+				// Guard: what one peer sends costs at most its connection.
+				if p := recover(); p != nil {
+					log.Error("connection handler", zap.Any("panic", p), zap.Stack("stack"))
+				}
+			}()
+			handle(ctx, c)
+			return nil
+		})
 		group.Go(func() error { both.Wait(); <-slots; return nil })
 	}
 }
--- a/internal/front/websocket/websocket.go
+++ b/internal/front/websocket/websocket.go
@@ -47,8 +47,8 @@
 		alive := make(chan struct{})
 		defer close(alive)
 		go c.keepAlive(alive)
+		defer f.Core.Lost(c)
 		err := c.serve()
-		f.Core.Lost(c)
 		var code closeError
 		if errors.As(err, &code) {
 			c.Put(appendClose(nil, int(code)))
--- a/internal/media/media_test.go
+++ b/internal/media/media_test.go
@@ -1,6 +1,7 @@
 package media
 
 import (
+	"context"
 	"io"
 	"net"
 	"reflect"
@@ -211,3 +212,25 @@
 		t.Errorf("read %+v", got)
 	}
 }
+
+// A connection that comes up just as its node's actor ends is closed all the
+// same: the program can end.
+func TestEndWithAConnectionUnderWay(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	n, _, _, _ := bed(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	n.pool.ctx, n.addr = ctx, l.Addr().String()
+	n.connect()
+	far, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	<-n.box.Ready() // dialled, and nobody takes it
+	cancel()
+	n.pool.group.Wait()
+}
