--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -15,6 +15,7 @@
 type fake struct {
 	told []string
 	none bool // no node takes a set-up
+	deaf bool // no reply reaches it
 }
 
 func (f *fake) note(format string, args ...any) {
@@ -34,7 +35,7 @@
 func (f *fake) Probe(control.Server)                                      {}
 func (f *fake) Deliver(r Reply) bool {
 	f.note("%s %d", [...]string{"served", "refused", "failed", "over", "moved"}[r.Kind], r.ID)
-	return true
+	return !f.deaf
 }
 
 func (f *fake) take() string {
@@ -217,6 +218,36 @@
 	}
 }
 
+// An answer that can't reach its viewer leaves nothing standing at the node; a
+// player may still come back for it.
+func TestAnswerReachesNobody(t *testing.T) {
+	for grace, want := range map[time.Duration]string{0: "setup 1, served 1, teardown 1", time.Minute: "setup 1, served 1"} {
+		b, f := bed(t)
+		f.deaf = true
+		b.ask(f, 1, clip, -1, grace)
+		b.tells(1, Started, 0)
+		if got := f.take(); got != want {
+			t.Errorf("%s, want %s", got, want)
+		}
+	}
+}
+
+// A node that the list has dropped meanwhile is given nothing: the attempt
+// never left, and the session is tried elsewhere or refused.
+func TestUnlistedNode(t *testing.T) {
+	b, f := bed(t)
+	f.none = true
+	b.ask(f, 1, clip, -1, 0)
+	for range 4 {
+		for _, m := range b.inbox.Take(nil) {
+			b.handle(m)
+		}
+	}
+	if got := f.take(); got != "setup 1, setup 1, refused 1" {
+		t.Error(got)
+	}
+}
+
 // A set-up that is repeated gets the answer that the first one gets; a session
 // of the other front can't be taken over.
 func TestRepeatedSetUp(t *testing.T) {
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -199,19 +199,21 @@
 	b.answer(s, Reply{Kind: Refused, ID: s.ID, Cause: CauseRefused, Wait: wait})
 }
 
-// answer gives the one final answer.
-func (b *Broker) answer(s *session, r Reply) {
+// answer gives the one final answer. False: it can't reach the viewer.
+func (b *Broker) answer(s *session, r Reply) bool {
 	if s.answered {
-		return
+		return true
 	}
+	reached := true
 	s.answered, s.reply = true, r
 	delete(b.open, s.ID)
 	if s.client != nil { // else it waits in s.reply for its player
-		s.client.Deliver(r)
+		reached = s.client.Deliver(r) || s.Grace > 0
 	}
 	if r.Kind != Served {
 		b.forget(s)
 	}
+	return reached
 }
 
 // forget drops a session that has its answer and nothing out. What a player
@@ -270,7 +272,11 @@
 	}
 	s.playing = true
 	b.tell(control.Event{Kind: control.EvFirst, Session: s.ID, Server: s.server, Attempt: s.attempt - 1})
-	b.answer(s, Reply{Kind: Served, ID: s.ID, Description: r.Description})
+	if !b.answer(s, Reply{Kind: Served, ID: s.ID, Description: r.Description}) {
+		// Its connection is gone and nobody will come back for it.
+		b.nodes.Release(s.server, s.ID, CauseEnded)
+		b.over(s, control.Cancelled, nil)
+	}
 }
 
 func (b *Broker) attemptEnded(s *session, r Report) {
--- /dev/null
+++ b/internal/front/jsonl/jsonl_test.go
@@ -0,0 +1,82 @@
+package jsonl
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"millethinge/internal/broker"
+	"millethinge/internal/front/message"
+)
+
+// core is a broker whose mailbox is full.
+type core struct{ lost chan broker.Client }
+
+func (c core) Submit(broker.Request) bool { return false }
+func (c core) End(broker.ViewerEnd) bool  { return true }
+func (c core) Lost(l broker.Client)       { c.lost <- l }
+
+func serve(t *testing.T) (core, func() (net.Conn, *bufio.Reader)) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := core{make(chan broker.Client, 9)}
+	f := &Front{Core: c, Catalog: message.Catalog{Classes: []string{"feed"}, Cells: 1}, MaxConns: 4, Log: zap.NewNop()}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- f.Serve(ctx, l) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return c, func() (net.Conn, *bufio.Reader) {
+		v, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { v.Close() })
+		return v, bufio.NewReader(v)
+	}
+}
+
+func hear(t *testing.T, in *bufio.Reader, want string) {
+	t.Helper()
+	if got, err := in.ReadString('\n'); strings.TrimSpace(got) != want {
+		t.Errorf("got %q, %v, want %q", got, err, want)
+	}
+}
+
+// A request that the broker's mailbox can't take is answered all the same.
+func TestFullMailboxIsAnswered(t *testing.T) {
+	_, dial := serve(t)
+	v, in := dial()
+	v.Write([]byte(`{"type":"setup","id":"0000000000000001","fields":{"class":"feed","left":"900","key":"1"},"sdp":""}` + "\n"))
+	hear(t, in, `{"type":"release","id":"0000000000000001","fields":{"wait":"1000"},"cause":42}`)
+}
+
+// An end that finds no open connection goes on the next one that opens.
+func TestEndWaitsForAConnection(t *testing.T) {
+	c, dial := serve(t)
+	v, _ := dial()
+	v.Close()
+	client := <-c.lost
+	client.Deliver(broker.Reply{Kind: broker.Served, ID: 1}) // is lost with its connection
+	client.Deliver(broker.Reply{Kind: broker.Over, ID: 1, Cause: 41})
+	_, in := dial()
+	hear(t, in, `{"type":"release","id":"0000000000000001","fields":{},"cause":41}`)
+}
+
+// A message over 16 KiB costs its connection.
+func TestLongMessage(t *testing.T) {
+	_, dial := serve(t)
+	v, in := dial()
+	v.Write(make([]byte, message.Max+1))
+	hear(t, in, "")
+}
