--- a/internal/front/websocket/frame.go
+++ b/internal/front/websocket/frame.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"unicode/utf8"
 
 	"millethinge/internal/front/message"
 )
@@ -126,6 +127,9 @@
 	if len(p) == 1 {
 		return 0, closeError(closeProtocol)
 	}
+	if !utf8.Valid(p[2:]) {
+		return 0, closeError(closeInvalid)
+	}
 	code := int(binary.BigEndian.Uint16(p))
 	switch {
 	case code >= 3000 && code < 5000,
--- a/internal/front/websocket/frame_test.go
+++ b/internal/front/websocket/frame_test.go
@@ -45,7 +45,7 @@
 			t.Errorf("%s: %v", name, err)
 		}
 	}
-	for _, p := range [][]byte{{3}, {0x03, 0xed}, {0, 1}, {0xff, 0xff}} {
+	for _, p := range [][]byte{{3}, {0x03, 0xed}, {0, 1}, {0xff, 0xff}, {0x03, 0xe8, 0xff}} {
 		if _, err := closeCode(p); err == nil {
 			t.Errorf("no error for the close payload % x", p)
 		}
--- a/internal/media/media_test.go
+++ b/internal/media/media_test.go
@@ -177,6 +177,28 @@
 	}
 }
 
+// A node that was cut off and comes back is told to end what was given up.
+func TestNodeComesBack(t *testing.T) {
+	n, c, far, _ := bed(t)
+	n.dialling = true
+	n.handle(stands{10})
+	n.heardAt = time.Now().Add(-lostTime)
+	n.handle(dialled{err: io.EOF})
+	got := make(chan message)
+	go func() {
+		b := make([]byte, 4096)
+		k, _ := far.Read(b)
+		var raw rtsp.Message
+		rtsp.Parse(b[:k], &raw)
+		got <- understand(&raw, nil)
+	}()
+	n.dialling = true
+	n.handle(dialled{conn: c})
+	if m := <-got; m.kind != ended || m.id != 10 || m.cause != broker.CauseCut || len(n.owed) != 0 {
+		t.Errorf("%+v, %d owed", m, len(n.owed))
+	}
+}
+
 // A connection that is retired is still read: a release may cross its end.
 func TestRetiredConnectionIsStillRead(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -34,6 +34,8 @@
 	probeTime   = 300 * time.Millisecond // a report that is later says little
 	silentTime  = 2 * time.Second        // after which a node with sessions is looked at again
 	lostTime    = 3 * time.Second        // after which, with failed looks, it is lost
+	retryTime   = time.Second            // between looks at a lost node
+	keepLost    = time.Minute            // how long its sessions' releases wait
 	keepRelease = 10 * time.Second       // how long a release waits for a connection
 	mostConns   = 12                     // to one node; more than open between two closes as idle
 )
@@ -56,6 +58,7 @@
 	probes   map[uint64]time.Time       // when each is given up
 	asked    int                        // probes that wait for a connection
 	heardAt  time.Time                  // when the node last showed a sign of life
+	retryAt  time.Time                  // when a lost node is looked at again
 	buf      []byte
 }
 
@@ -280,23 +283,37 @@
 	for ; n.asked > 0; n.asked-- {
 		n.report(broker.Report{Kind: broker.Probed, Status: control.ConnectFailed})
 	}
-	refused := errors.Is(err, syscall.ECONNREFUSED)
-	if refused && len(n.conns) == 0 || time.Since(n.heardAt) > lostTime {
-		n.lost(fmt.Sprint("no connection: ", err))
+	why := fmt.Sprint("no connection: ", err)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED) && len(n.conns) == 0: // no process is there
+		n.lost(why)
+	case time.Since(n.heardAt) > lostTime:
+		n.retryAt = time.Now().Add(retryTime)
+		// The node may hold its sessions still: it is told when it can be.
+		until := time.Now().Add(keepLost)
+		for id := range n.standing {
+			n.owed[id] = owed{broker.CauseCut, until}
+		}
+		n.cut(why, time.Now())
+		n.closeAll()
 	}
 }
 
-// lost ends what stands at a node whose process is gone or that can't be
-// reached: it says nothing itself, and the viewers must hear within seconds.
+// lost ends what stood at a node whose process is gone.
 func (n *node) lost(why string) {
 	n.cut(why, time.Now())
 	clear(n.owed)
+	n.closeAll()
+}
+
+func (n *node) closeAll() {
 	for _, c := range n.conns {
 		n.close(c)
 	}
 }
 
-// cut ends the sessions that stood before a time.
+// cut ends the sessions that stood before a time. Their node says nothing, and
+// their viewers must hear of it within seconds.
 func (n *node) cut(why string, before time.Time) {
 	if len(n.standing) > 0 {
 		n.pool.cfg.Log.Info("node lost", zap.String("node", n.id), zap.String("why", why),
@@ -360,7 +377,7 @@
 	// A machine that is cut off keeps its connections open and silent: only a
 	// new one tells. It also brings releases that found no connection.
 	quiet := now.Sub(n.heardAt) > silentTime
-	if len(n.owed) > 0 || len(n.standing) > 0 && (quiet || len(n.conns) == 0) {
+	if now.After(n.retryAt) && (len(n.owed) > 0 || len(n.standing) > 0 && (quiet || len(n.conns) == 0)) {
 		n.connect()
 	}
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -77,6 +77,23 @@
 	}
 }
 
+func TestRefusalAndMove(t *testing.T) {
+	var out bytes.Buffer
+	e := NewEncoder(&out)
+	e.Begin(1)
+	session := control.SessionID(binary.LittleEndian.Uint64(unhex(t, "192b6f0e4baf0900")))
+	e.Action(3, control.Action{Kind: control.ActDeny, Session: session, WaitS: 0.25})
+	e.Action(3, control.Action{Kind: control.ActMove, Session: session})
+	if err := e.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	want := unhex(t, `01000000 2e000000 09 12000000 0300 192b6f0e4baf0900 000000000000d03f
+		0d 0a000000 0300 192b6f0e4baf0900`)
+	if !bytes.Equal(out.Bytes(), want) {
+		t.Errorf("reply\n%x, want\n%x", out.Bytes(), want)
+	}
+}
+
 func frame(records ...[]byte) []byte {
 	body := bytes.Join(records, nil)
 	b := make([]byte, headerLen, headerLen+len(body))
