Reload the configuration on SIGHUP and follow the coordinator that it names

Ruled out: a crash of the program's own; 129 is the shell's word for SIGHUP, and the log ends without an error.

Now: main takes SIGHUP, reads the file through internal/config, and hands the coordinator's address to the list's source, which ends its poll there and goes on at the new one with the number of its last event. A bad file is logged and the old address kept. A poll that brought something is repeated at once when its connection ends, one that brought nothing after 200 ms, and silence is taken as a break 0.5 s after the wait asked for (1 s before).

--- a/cmd/millethinge/exchange_test.go
+++ b/cmd/millethinge/exchange_test.go
@@ -42,9 +42,10 @@
 
 // program is a running session manager.
 type program struct {
-	at   listeners
-	stop chan os.Signal
-	done chan error
+	at      listeners
+	signals chan os.Signal
+	reload  chan string // what the next reload reads
+	done    chan error
 }
 
 func start(t *testing.T, coordinator, members string, cells int, operator string) *program {
@@ -56,13 +57,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &program{stop: make(chan os.Signal, 1), done: make(chan error, 1)}
+	p := &program{signals: make(chan os.Signal, 1), reload: make(chan string, 1), done: make(chan error, 1)}
 	if p.at, err = listen(cfg); err != nil {
 		t.Fatal(err)
 	}
-	go func() { p.done <- run(cfg, p.at, p.stop, zap.NewNop()) }()
+	reload := func() (config.Config, error) {
+		return config.Parse(fmt.Appendf(nil, platform, <-p.reload, members, cells))
+	}
+	go func() { p.done <- run(cfg, p.at, p.signals, reload, zap.NewNop()) }()
 	t.Cleanup(func() {
-		p.stop <- syscall.SIGTERM
+		p.signals <- syscall.SIGTERM
 		select {
 		case err := <-p.done:
 			if err != nil {
@@ -97,7 +101,8 @@
 // coordinator. In node's, player's and coordinator's bytes | is a line end; * in
 // what is received stands for digits. "w1+ text" and "w1- text" are text frames;
 // "v1 close" closes, "v1 eof" waits for
-// the program to close, "a open" waits for a connection. {a} is node a's address.
+// the program to close, "a open" waits for a connection. {a} is node a's address;
+// l is a second coordinator.
 func TestExchanges(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	if err != nil || len(files) == 0 {
@@ -119,7 +124,7 @@
 	actors := map[string]*actor{}
 	servers := map[string]net.Listener{"k": loopback(t)}
 	var members, operator, names []string
-	for name := range strings.SplitSeq("a b c d e", " ") {
+	for name := range strings.SplitSeq("a b c d e l", " ") {
 		servers[name] = loopback(t)
 		names = append(names, "{"+name+"}", servers[name].Addr().String())
 	}
@@ -143,7 +148,10 @@
 		}
 		switch {
 		case word == "sigterm":
-			p.stop <- syscall.SIGTERM
+			p.signals <- syscall.SIGTERM
+		case word == "sighup": // with the coordinator that the file names by then
+			p.reload <- rest
+			p.signals <- syscall.SIGHUP
 		case rest == "close":
 			actors[word].Close()
 			delete(actors, word)
@@ -213,7 +221,7 @@
 	} else if way == '<' || way == '>' {
 		head, body, _ := strings.Cut(text, "||")
 		text = strings.ReplaceAll(strings.ReplaceAll(text, "{len}", strconv.Itoa(len(body))), "|", "\r\n")
-		if kind == 'k' { // JSON may hold no |, but the body must stay as it is
+		if kind == 'k' || kind == 'l' { // JSON may hold no |, but the body must stay as it is
 			text = strings.ReplaceAll(strings.ReplaceAll(head, "{len}", strconv.Itoa(len(body)))+"||", "|", "\r\n") + body
 		}
 	}
--- a/cmd/millethinge/main.go
+++ b/cmd/millethinge/main.go
@@ -40,11 +40,12 @@
 		os.Exit(1)
 	}
 	log = log.With(zap.String("name", cfg.Name))
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	reload := func() (config.Config, error) { return config.Load(os.Getenv) }
 	at, err := listen(cfg)
 	if err == nil {
-		err = run(cfg, at, stop, log)
+		err = run(cfg, at, signals, reload, log)
 	}
 	if err != nil {
 		log.Error("ended", zap.Error(err))
@@ -65,8 +66,10 @@
 	return at, err
 }
 
-// run serves until a signal comes and all that was taken is answered.
-func run(cfg config.Config, at listeners, stop <-chan os.Signal, log *zap.Logger) error {
+// run serves until a signal ends it and all that was taken is answered. SIGHUP
+// has it follow the coordinator that reload names.
+func run(cfg config.Config, at listeners, signals <-chan os.Signal,
+	reload func() (config.Config, error), log *zap.Logger) error {
 	root, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, ctx := errgroup.WithContext(root)
@@ -90,11 +93,8 @@
 		pool.Apply(c) // first: a drain binds what is queued at once
 		core.List(list(c))
 	})
-	coordinator := &directory.Coordinator{
-		Addr: cfg.Coordinator, Known: cfg.Known, Names: cfg.Names, Log: log,
-		Sink: nodes.Source("coordinator"),
-	}
-	coordinator.Start()
+	coordinator := directory.NewCoordinator(cfg.Known, cfg.Names, nodes.Source("coordinator"), log)
+	coordinator.Follow(cfg.Coordinator)
 	nodes.Settle()
 	if d := cfg.Operator.DNSSD; d != nil {
 		discovery := &directory.DNSSD{
@@ -126,12 +126,19 @@
 	group.Go(func() error { return coordinator.Run(ctx) })
 	group.Go(func() error { return front.Serve(ctx, at.viewers) })
 	group.Go(func() error {
-		select {
-		case s := <-stop:
-			log.Info("draining", zap.Stringer("signal", s))
-			core.Drain()
-		case <-ctx.Done():
-			return nil
+		for draining := false; !draining; {
+			select {
+			case s := <-signals:
+				if s == syscall.SIGHUP {
+					follow(coordinator, reload, log)
+					continue
+				}
+				log.Info("draining", zap.Stringer("signal", s))
+				core.Drain()
+				draining = true
+			case <-ctx.Done():
+				return nil
+			}
 		}
 		select {
 		case <-core.Drained():
@@ -145,6 +152,18 @@
 	return group.Wait()
 }
 
+// follow reads the configuration anew and has the coordinator that it names
+// followed. Guard: one that can't be read or is faulty changes nothing.
+func follow(c *directory.Coordinator, reload func() (config.Config, error), log *zap.Logger) {
+	cfg, err := reload()
+	if err != nil {
+		log.Error("configuration not reloaded; the old one stays", zap.Error(err))
+		return
+	}
+	c.Follow(cfg.Coordinator)
+	log.Info("configuration reloaded", zap.String("coordinator", cfg.Coordinator))
+}
+
 // lastWrites is left for queued answers to be written before the end.
 const lastWrites = 50 * time.Millisecond
 
--- a/internal/directory/coordinator.go
+++ b/internal/directory/coordinator.go
@@ -16,10 +16,10 @@
 )
 
 const (
-	pollWait    = 2 * time.Second // how long the coordinator may hold a poll
-	pollSlack   = time.Second     // beyond it; then the connection is taken as dead
-	redialAfter = 200 * time.Millisecond
-	maxPoll     = 4 << 20 // bytes of an answer
+	pollWait    = 2 * time.Second        // how long the coordinator may hold a poll
+	pollSlack   = 500 * time.Millisecond // beyond it; then the connection is taken as dead
+	redialAfter = 200 * time.Millisecond // after a poll that brought nothing
+	maxPoll     = 4 << 20                // bytes of an answer
 )
 
 // Updates is the coordinator's numbered events, as in its answers and in the
@@ -80,19 +80,33 @@
 	return c
 }
 
-// Coordinator follows the coordinator's events. It is the list's actor: the
+// Coordinator follows the coordinator's events, one after the other. It is the
 // only one to tell the sink.
 type Coordinator struct {
-	Addr  string
-	Known Updates
 	Names Names
 	Sink  Sink
 	Log   *zap.Logger
-	last  uint64
+	moved chan string // the address to follow from now on
+	last  uint64      // number of the last event that was told
 }
 
-// Start tells the events that the configuration holds.
-func (c *Coordinator) Start() { c.apply(c.Known) }
+// NewCoordinator returns a Coordinator that has told what is known at the start.
+func NewCoordinator(known Updates, names Names, sink Sink, log *zap.Logger) *Coordinator {
+	c := &Coordinator{Names: names, Sink: sink, Log: log, moved: make(chan string, 1)}
+	c.apply(known)
+	return c
+}
+
+// Follow has Run go on at another address. The numbers continue there.
+func (c *Coordinator) Follow(addr string) {
+	for {
+		select {
+		case c.moved <- addr:
+			return
+		case <-c.moved: // an address that nobody has begun to follow
+		}
+	}
+}
 
 func (c *Coordinator) apply(u Updates) {
 	for _, e := range u.Updates {
@@ -107,26 +121,56 @@
 	c.last = max(c.last, u.Index)
 }
 
-// Run polls until ctx ends. A connection that breaks or falls silent is
-// replaced: what the coordinator holds counts as told either way.
+// Run polls at the address that Follow last named until ctx ends. A connection
+// that breaks or falls silent is replaced at once: what the coordinator holds
+// counts as told either way.
 func (c *Coordinator) Run(ctx context.Context) error {
-	if c.Addr == "" {
-		return nil
+	addr := ""
+	for ctx.Err() == nil {
+		if addr == "" {
+			select {
+			case <-ctx.Done():
+			case addr = <-c.moved:
+			}
+			continue
+		}
+		poll, cancel := context.WithCancel(ctx)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			c.poll(poll, addr)
+		}()
+		select {
+		case <-ctx.Done():
+		case addr = <-c.moved:
+			c.Log.Info("following another coordinator", zap.String("address", addr))
+		}
+		cancel()
+		<-done
 	}
+	return nil
+}
+
+// poll asks at one address until ctx ends.
+func (c *Coordinator) poll(ctx context.Context, addr string) {
 	for ctx.Err() == nil {
-		if err := c.follow(ctx); err != nil && ctx.Err() == nil {
+		before := c.last
+		if err := c.follow(ctx, addr); err != nil && ctx.Err() == nil {
 			c.Log.Warn("coordinator", zap.Error(err))
 		}
+		if c.last > before {
+			continue
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(redialAfter):
 		}
 	}
-	return nil
 }
 
-func (c *Coordinator) follow(ctx context.Context) error {
-	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", c.Addr)
+// follow polls on one connection.
+func (c *Coordinator) follow(ctx context.Context, addr string) error {
+	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return err
 	}
@@ -136,7 +180,7 @@
 	in := stream.NewReader(conn, maxPoll)
 	for {
 		req := fmt.Appendf(nil, "GET /v2/stream?follow=%d&wait_ms=%d HTTP/1.1\r\nHost: %s\r\n\r\n",
-			c.last, pollWait.Milliseconds(), c.Addr)
+			c.last, pollWait.Milliseconds(), addr)
 		if err := conn.SetDeadline(time.Now().Add(pollWait + pollSlack)); err != nil {
 			return err
 		}
