Answer or close every bad client, and keep a session's answer to itself

Checked with a probe that logged every line and every answer: set-ups with extras "x", "", "home:9999;…", "cores:-1" were served, since message.Setup took defaults for what was missing; a set-up under the id of another viewer's open request was joined to it by broker.rejoin. Silent, half and taken-back requests were never ended: the lines front had no limit, and peer.Serve stopped accepting once its slots were full.

Ruled out: answers mixed up by media nodes; all served ids were viewers' own.

Now: message.Setup wants every figure and its range; broker.rejoin joins only what repeats the same set-up; peer closes what is overdue, and a full room loses the connection that is missed least. Ends of sessions go to connections of the same host or of clients who have had a session, not to just any.

--- a/cmd/millethinge/main.go
+++ b/cmd/millethinge/main.go
@@ -109,7 +109,7 @@
 	}
 	catalog := message.Catalog{
 		Classes: cfg.Classes, Teams: teams,
-		Cells: cfg.Settings.Cells, MaxRung: len(cfg.Settings.RatesKB) - 1,
+		Cells: cfg.Settings.Cells, MaxRung: len(cfg.Settings.RatesKB) - 1, MostLeft: cfg.MostLeft,
 	}
 	front := &jsonl.Front{Core: core, Catalog: catalog, MaxConns: cfg.ViewerConns(), Log: log}
 	if w := cfg.Operator.WebSocket; w != nil {
--- a/internal/broker/api.go
+++ b/internal/broker/api.go
@@ -53,6 +53,7 @@
 	Failed                   // it may have run
 	Over                     // a session that stood is over
 	Moved                    // a session that stood ends here; come again
+	GivenUp                  // no answer is owed any more: not for the viewer's eyes
 )
 
 // Reply is one message to a viewer.
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -34,6 +34,9 @@
 func (f *fake) SetRung(s control.Server, id control.SessionID, rung int)  { f.note("rung %d", rung) }
 func (f *fake) Probe(control.Server)                                      {}
 func (f *fake) Deliver(r Reply) bool {
+	if r.Kind == GivenUp {
+		return true
+	}
 	f.note("%s %d", [...]string{"served", "refused", "failed", "over", "moved"}[r.Kind], r.ID)
 	return !f.deaf
 }
@@ -262,6 +265,34 @@
 	}
 }
 
+// An id that is open or stands, with another description: nothing of the session
+// goes to the one who sent it. On the session's own connection the id has two
+// meanings and one answer, that it failed.
+func TestIDUsedTwice(t *testing.T) {
+	for class, want := range map[int]string{clip: "setup 1, served 1; failed 1, failed 1", feed: "setup 1, served 1; failed 1, failed 1"} {
+		b, f := bed(t)
+		other := &fake{}
+		again := func(c *fake) {
+			b.handle(Request{ID: 1, Class: class, Team: -1, Title: 1, Span: 1, MaxRung: 2,
+				Left: 3 * time.Second, Came: time.Now(), Client: c, Description: []byte("other")})
+		}
+		b.ask(f, 1, class, -1, 0)
+		again(other)
+		b.tells(1, Started, 0)
+		again(other)
+		if got := f.take() + "; " + other.take(); got != want {
+			t.Error(got)
+		}
+		b, f = bed(t)
+		b.ask(f, 1, class, -1, 0)
+		again(f)
+		b.tells(1, Ended, control.Cancelled)
+		if got := f.take(); got != "setup 1, failed 1, giveup 1" || len(b.sessions) != 0 {
+			t.Error(got)
+		}
+	}
+}
+
 func TestMoveEndsBothSides(t *testing.T) {
 	b, f := bed(t)
 	b.ask(f, 1, feed, -1, 0)
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"bytes"
 	"time"
 
 	"go.uber.org/zap"
@@ -45,6 +46,7 @@
 	if r.Playing != 0 {
 		if !b.nodes.Stands(r.Playing, r.ID) {
 			b.log.Warn("a session stands at an unlisted node", zap.Uint64("node", uint64(r.Playing)))
+			r.Client.Deliver(Reply{Kind: Over, ID: r.ID, Cause: CauseCut})
 			return
 		}
 		s.playing, s.answered, s.server, s.attempt = true, true, r.Playing, 1
@@ -70,12 +72,23 @@
 // rejoin gives a running session to the connection that its player came back
 // on, or that a viewer repeated its set-up on. The set-up under way goes on:
 // none is begun again, and the one answer goes there.
+//
+// Guard: a set-up that only has the id in common, or comes from another front,
+// gets nothing of the session. Where its connection is the session's own, that
+// one id has two meanings and can have one answer: it failed.
 func (b *Broker) rejoin(s *session, r Request) {
 	switch {
 	case r.Playing != 0: // it names what is held already
-	case (s.Grace > 0) != (r.Grace > 0): // another front's session is not to be had
+	case (s.Grace > 0) != (r.Grace > 0) || !s.repeats(r):
+		if s.client == r.Client && !s.answered {
+			b.fail(s)
+			return
+		}
 		r.Client.Deliver(Reply{Kind: Failed, ID: r.ID, Cause: CauseFailed})
 	default:
+		if s.client != nil && s.client != r.Client {
+			s.client.Deliver(Reply{Kind: GivenUp, ID: s.ID})
+		}
 		s.client = r.Client
 		if s.answered {
 			s.client.Deliver(s.reply)
@@ -83,6 +96,12 @@
 	}
 }
 
+// repeats tells whether r asks for the same as s did.
+func (s *session) repeats(r Request) bool {
+	return s.Playing == 0 && s.Class == r.Class && s.Team == r.Team && s.Key == r.Key && s.Home == r.Home &&
+		s.Span == r.Span && s.MaxRung == r.MaxRung && bytes.Equal(s.Description, r.Description)
+}
+
 // clientLost gives up the set-ups open on a connection that is gone, or keeps
 // them for a player that may come back.
 func (b *Broker) clientLost(c Client) {
@@ -126,6 +145,9 @@
 	}
 	s.answered, s.reply = true, Reply{Kind: Failed, ID: s.ID, Cause: CauseFailed}
 	delete(b.open, s.ID)
+	if s.client != nil {
+		s.client.Deliver(Reply{Kind: GivenUp, ID: s.ID})
+	}
 	if s.out {
 		b.nodes.GiveUp(s.server, s.ID, s.attempt, false)
 	}
@@ -141,11 +163,16 @@
 		return
 	}
 	b.log.Warn("answered at the deadline", zap.Uint64("session", uint64(id)))
-	b.answer(s, Reply{Kind: Failed, ID: id, Cause: CauseFailed})
+	b.fail(s)
+}
+
+// fail answers a session that waits no longer for what is out.
+func (b *Broker) fail(s *session) {
+	b.answer(s, Reply{Kind: Failed, ID: s.ID, Cause: CauseFailed})
 	if s.out {
-		b.nodes.GiveUp(s.server, id, s.attempt, true)
+		b.nodes.GiveUp(s.server, s.ID, s.attempt, true)
 	}
-	b.tell(control.Event{Kind: control.EvAborted, Session: id})
+	b.tell(control.Event{Kind: control.EvAborted, Session: s.ID})
 	b.forget(s)
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -30,6 +30,8 @@
 	defaultConnIdle    = 15 * time.Second
 	defaultConnect     = 250 * time.Millisecond
 	defaultPerConn     = 32
+	defaultGiveUp      = 10 * time.Second
+	leftTimes          = 4 // a viewer waits so many times its class's deadline at most
 	leastSockets       = 32
 	operatorFile       = "deploy/operator.json" // read if it is there
 	platformFile       = "the platform's configuration"
@@ -50,8 +52,9 @@
 	Known       directory.Updates
 	Names       directory.Names
 	Settings    control.Settings
-	Classes     []string // names by class
-	Tenants     []string // of the platform, by number
+	Classes     []string      // names by class
+	Tenants     []string      // of the platform, by number
+	MostLeft    time.Duration // the longest that a viewer may say it waits
 
 	ConnIdle       time.Duration
 	ConnectTimeout time.Duration
@@ -175,6 +178,7 @@
 			return fault(fmt.Sprintf("settings.lanes[%d].name", i), fmt.Errorf("missing"))
 		}
 		c.Classes = append(c.Classes, l.Name)
+		c.MostLeft = max(c.MostLeft, leftTimes*orDefault(l.GiveUp, defaultGiveUp))
 	}
 	for _, t := range p.Projects {
 		c.Tenants = append(c.Tenants, t.Name)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -20,6 +20,7 @@
 		Name     string  `json:"name"`
 		Effect   string  `json:"effect"`
 		GoalTime float64 `json:"goalTimeS"`
+		GiveUp   float64 `json:"giveUpS"`
 		Worth    float64 `json:"worth"`
 	} `json:"lanes"`
 	Projects []struct {
--- a/internal/front/jsonl/jsonl.go
+++ b/internal/front/jsonl/jsonl.go
@@ -38,6 +38,7 @@
 // unsent is a session's end that found no open connection.
 type unsent struct {
 	reply broker.Reply
+	host  string
 	until time.Time
 }
 
@@ -57,19 +58,26 @@
 	})
 }
 
-// add makes c known, and sends it the ends that found no connection.
 func (f *Front) add(c *conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.conns = append(f.conns, c)
-	for _, u := range f.unsent {
-		if time.Now().Before(u.until) {
-			c.send(u.reply)
-		}
-	}
-	f.unsent = nil
+	f.flush(c)
 }
 
+// flush sends c the ends that found no connection and that it may carry.
+func (f *Front) flush(c *conn) {
+	now := time.Now()
+	f.unsent = slices.DeleteFunc(f.unsent, func(u unsent) bool {
+		return now.After(u.until) || c.carries(u.host) && c.send(u.reply)
+	})
+}
+
+// carries tells whether the end of a session whose set-up came from a host may
+// be sent on c. Guard: not on just any connection, since one that was never
+// more than opened may be nobody's who cares.
+func (c *conn) carries(host string) bool { return c.Host == host || c.Known() }
+
 func (f *Front) remove(c *conn) {
 	f.mu.Lock()
 	f.conns = slices.DeleteFunc(f.conns, func(o *conn) bool { return o == c })
@@ -80,6 +88,13 @@
 // Deliver sends an answer on the connection of its set-up. What ends a session
 // that stood goes on any open one: none owns it.
 func (c *conn) Deliver(r broker.Reply) bool {
+	c.Answered(uint64(r.ID))
+	switch r.Kind {
+	case broker.GivenUp:
+		return true
+	case broker.Served:
+		c.know()
+	}
 	if c.send(r) {
 		return true
 	}
@@ -89,17 +104,30 @@
 	f := c.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, o := range f.conns {
-		if o.send(r) {
-			return true
+	for _, same := range []bool{true, false} { // its viewer's own ones first, the youngest first
+		for _, o := range slices.Backward(f.conns) {
+			if (o.Host == c.Host) == same && o.carries(c.Host) && o.send(r) {
+				return true
+			}
 		}
 	}
 	now := time.Now()
 	f.unsent = slices.DeleteFunc(f.unsent, func(u unsent) bool { return now.After(u.until) })
-	f.unsent = append(f.unsent, unsent{r, now.Add(keepUnsent)})
+	f.unsent = append(f.unsent, unsent{r, c.Host, now.Add(keepUnsent)})
 	return true
 }
 
+// know marks c as a connection of viewers who have had a session.
+func (c *conn) know() {
+	if c.Known() {
+		return
+	}
+	c.Know()
+	c.front.mu.Lock()
+	c.front.flush(c)
+	c.front.mu.Unlock()
+}
+
 func (c *conn) send(r broker.Reply) bool {
 	return c.Put(append(message.AppendReply(nil, r), '\n'))
 }
@@ -118,6 +146,7 @@
 		if err != nil {
 			return
 		}
+		c.Whole(in.Buffered() > 0)
 		if len(bytes.TrimSpace(line)) == 0 {
 			continue
 		}
@@ -148,20 +177,30 @@
 func (c *conn) setUp(m *message.Message) bool {
 	r, err := c.front.Catalog.Setup(m, time.Now())
 	r.Client = c
-	at := m.At()
-	if at != nil {
-		r.Playing = directory.ServerOf(string(at))
+	if at := m.At(); at != nil {
+		return c.stands(m, r, directory.ServerOf(string(at)), err)
 	}
-	if err != nil {
+	switch {
+	case err != nil && r.ID == 0:
+		return false // there is no id to answer under
+	case err != nil:
 		c.front.Log.Info("set-up not understood", zap.Error(err))
-		if at == nil && r.ID != control.SessionID(0) {
-			return c.send(broker.Reply{Kind: broker.Failed, ID: r.ID, Cause: broker.CauseFailed})
-		}
-		return at != nil
-	}
-	if !c.front.Core.Submit(r) && at == nil {
-		// The module's mailbox is full: nothing has been tried.
-		return c.send(broker.Reply{Kind: broker.Refused, ID: r.ID, Cause: broker.CauseRefused, Wait: time.Second})
+		return c.send(broker.Reply{Kind: broker.Failed, ID: r.ID, Cause: broker.CauseFailed})
+	case !c.Opened(uint64(r.ID)) || !c.front.Core.Submit(r):
+		// Guard: too many wait, on this connection or before the module. Nothing
+		// has been tried.
+		return c.Deliver(broker.Reply{Kind: broker.Refused, ID: r.ID, Cause: broker.CauseRefused, Wait: time.Second})
 	}
 	return true
 }
+
+// stands takes a session that plays already. It is owed no answer, but an end
+// where it can't be held.
+func (c *conn) stands(m *message.Message, r broker.Request, at control.Server, err error) bool {
+	r.Playing = at
+	if err == nil && c.front.Core.Submit(r) {
+		return true
+	}
+	c.front.Log.Info("standing session not taken", zap.Error(err))
+	return r.ID != 0 && c.Deliver(broker.Reply{Kind: broker.Over, ID: r.ID, Cause: broker.CauseCut})
+}
--- a/internal/front/jsonl/jsonl_test.go
+++ b/internal/front/jsonl/jsonl_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -26,7 +27,7 @@
 		t.Fatal(err)
 	}
 	c := core{make(chan broker.Client, 9)}
-	f := &Front{Core: c, Catalog: message.Catalog{Classes: []string{"feed"}, Cells: 1}, MaxConns: 4, Log: zap.NewNop()}
+	f := &Front{Core: c, Catalog: message.Catalog{Classes: []string{"feed"}, Cells: 1, MostLeft: time.Second}, MaxConns: 4, Log: zap.NewNop()}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
 	go func() { done <- f.Serve(ctx, l) }()
@@ -57,7 +58,7 @@
 func TestFullMailboxIsAnswered(t *testing.T) {
 	_, dial := serve(t)
 	v, in := dial()
-	v.Write([]byte(`{"type":"setup","id":"0000000000000001","fields":{"class":"feed","left":"900","key":"1"},"sdp":""}` + "\n"))
+	v.Write([]byte(`{"type":"setup","id":"0000000000000001","fields":{"class":"feed","left":"900","key":"1","extras":"home:0;copies:1;top:0"},"sdp":""}` + "\n"))
 	hear(t, in, `{"type":"release","id":"0000000000000001","fields":{"wait":"1000"},"cause":42}`)
 }
 
--- a/internal/front/message/message.go
+++ b/internal/front/message/message.go
@@ -5,6 +5,8 @@
 import (
 	"bytes"
 	"errors"
+	"math"
+	"slices"
 	"strconv"
 	"time"
 	"unicode/utf8"
@@ -45,6 +47,9 @@
 // Parse reads one message. It writes to b where strings hold escapes.
 func Parse(b []byte, m *Message) error {
 	*m = Message{Fields: m.Fields[:0]}
+	if !utf8.Valid(b) {
+		return ErrSyntax
+	}
 	p := parser{b: b}
 	p.object(func(name []byte) {
 		switch string(name) {
@@ -235,6 +240,9 @@
 				p.at = at
 			}
 		}
+		// Guard: half a surrogate pair stands for no character, and a description
+		// must pass on unchanged.
+		p.bad = p.bad || !utf8.ValidRune(r)
 		return utf8.AppendRune(into, r)
 	}
 	p.bad = true
@@ -339,92 +347,77 @@
 
 // Catalog is what a set-up's names mean at this deployment.
 type Catalog struct {
-	Classes []string
-	Teams   []string // by tenant number
-	Cells   int
-	MaxRung int
+	Classes  []string
+	Teams    []string // by tenant number
+	Cells    int
+	MaxRung  int
+	MostLeft time.Duration // the longest that a viewer waits
 }
 
-// Setup understands a set-up that came at a time.
+// roomOnWire is what a set-up takes up beside its description on the way to a
+// media node, where no message is longer than here.
+const roomOnWire = 512
+
+// Setup understands a set-up that came at a time. What lacks a figure that it
+// needs, or has one that is out of range, is an error: a node could not use it
+// either, and an error of a node's counts against the node.
 func (c *Catalog) Setup(m *Message, came time.Time) (broker.Request, error) {
-	r := broker.Request{Came: came, Class: -1, Team: -1, Span: c.Cells, MaxRung: float64(c.MaxRung)}
+	r := broker.Request{Came: came, Class: -1, Team: -1}
 	var err error
 	if r.ID, err = ParseID(m.ID); err != nil {
 		return r, err
 	}
-	for i, name := range c.Classes {
-		if string(m.Get("class")) == name {
-			r.Class = i
-		}
-	}
-	if r.Class < 0 {
+	if r.Class = slices.Index(c.Classes, string(m.Get("class"))); r.Class < 0 {
 		return r, errors.New("message: unknown class")
 	}
 	if name := m.Get("tenant"); len(name) > 0 {
-		for i, t := range c.Teams {
-			if string(name) == t {
-				r.Team = i
-			}
-		}
-		if r.Team < 0 && len(c.Teams) > 0 {
+		if r.Team = slices.Index(c.Teams, string(name)); r.Team < 0 && len(c.Teams) > 0 {
 			return r, errors.New("message: unknown tenant")
 		}
 	}
-	left, err := strconv.ParseFloat(string(m.Get("left")), 64)
-	if err != nil || !(left >= 0 && left < 1e9) {
-		left = 0
-	}
-	r.Left = time.Duration(left * float64(time.Millisecond))
 	r.Key = string(m.Get("key"))
-	if r.Title, err = strconv.ParseUint(r.Key, 16, 64); err != nil || !plain(r.Key) {
+	if r.Title, err = strconv.ParseUint(r.Key, 16, 64); err != nil || len(r.Key) > 16 {
 		return r, errors.New("message: key is no title")
 	}
-	c.extras(&r, m.Get("extras"))
+	left, ok := figure(m.Get("left"), 1, float64(math.MaxInt32))
+	r.Left = time.Duration(left) * time.Millisecond
+	if !ok || r.Left > c.MostLeft && m.At() == nil {
+		return r, errors.New("message: left is out of range")
+	}
+	extras := m.Get("extras")
+	home, ok1 := figure(extra(extras, "home"), 0, float64(c.Cells-1))
+	span, ok2 := figure(extra(extras, "copies"), 1, float64(c.Cells))
+	top, ok3 := figure(extra(extras, "top"), 0, float64(c.MaxRung))
+	if !ok1 || !ok2 || !ok3 {
+		return r, errors.New("message: home, copies or top is missing or out of range")
+	}
+	r.Home, r.Span, r.MaxRung = int(home), int(span), top
+	if len(m.SDP) > Max-roomOnWire {
+		return r, errors.New("message: description too long")
+	}
 	r.Description = bytes.Clone(m.SDP) // it outlives the read buffer
 	return r, nil
 }
 
-// extras reads the figures that come with a set-up: "name:value;…".
-func (c *Catalog) extras(r *broker.Request, b []byte) {
-	for part := range bytes.SplitSeq(b, []byte(";")) {
-		name, value, _ := bytes.Cut(part, []byte(":"))
-		v, err := strconv.ParseFloat(string(value), 64)
-		switch string(name) {
-		case "home":
-			if err == nil && v >= 0 && v < float64(c.Cells) {
-				r.Home = int(v)
-			}
-		case "copies":
-			if err == nil && v >= 1 && v < 1e6 {
-				r.Span = int(v)
-			}
-		case "top":
-			if err == nil && v >= 0 && v < 1e6 {
-				r.MaxRung = v
-			}
-		}
-	}
+// figure reads a number from least to most.
+func figure(b []byte, least, most float64) (float64, bool) {
+	v, err := strconv.ParseFloat(string(b), 64)
+	return v, err == nil && v >= least && v <= most
 }
 
-// At returns the node that a set-up says it plays at already, or nil.
-func (m *Message) At() []byte {
-	for part := range bytes.SplitSeq(m.Get("extras"), []byte(";")) {
-		if v, ok := bytes.CutPrefix(part, []byte("at:")); ok {
+// extra returns one of the figures that come with a set-up as "name:value;…",
+// or nil.
+func extra(b []byte, name string) []byte {
+	for part := range bytes.SplitSeq(b, []byte(";")) {
+		if n, v, ok := bytes.Cut(part, []byte(":")); ok && string(n) == name {
 			return v
 		}
 	}
 	return nil
 }
 
-// plain tells whether a key can stand in an address.
-func plain(key string) bool {
-	for i := range len(key) {
-		if c := key[i]; c == ' ' || c < ' ' || c >= 0x7f {
-			return false
-		}
-	}
-	return true
-}
+// At returns the node that a set-up says it plays at already, or nil.
+func (m *Message) At() []byte { return extra(m.Get("extras"), "at") }
 
 // ParseID reads a session's name of 16 hexadecimal digits.
 func ParseID(b []byte) (control.SessionID, error) {
--- a/internal/front/message/message_test.go
+++ b/internal/front/message/message_test.go
@@ -14,7 +14,7 @@
 const setUp = `{"type":"setup", "id":"9b1f03aa5c7e2d41","fields":{"class":"feed","left":1500,"key":"7f3a9c21e0b4d655",` +
 	`"extras":"home:4;copies:3;top:2;at:s-1"},"sdp":"a\r\n\u00e9\ud83d\ude00\"\/","other":[1,{"x":null}],"cause":3}`
 
-var catalog = Catalog{Classes: []string{"clip", "feed"}, Teams: []string{"a", "b"}, Cells: 8, MaxRung: 3}
+var catalog = Catalog{Classes: []string{"clip", "feed"}, Teams: []string{"a", "b"}, Cells: 8, MaxRung: 3, MostLeft: 2 * time.Second}
 
 func TestSetup(t *testing.T) {
 	var m Message
@@ -29,9 +29,14 @@
 	}
 	for _, change := range [][2]string{
 		{"9b1f03aa5c7e2d41", "9b1f"}, {"9b1f03aa5c7e2d41", "9b1f03aa5c7e2d4g"}, {`"feed"`, `"x"`},
-		{"7f3a9c21e0b4d655", "no title"}, {`"left"`, `"tenant":"c","left"`},
+		{"7f3a9c21e0b4d655", "no title"}, {`"left"`, `"tenant":"c","left"`}, {"7f3a9c21e0b4d655", "07f3a9c21e0b4d655"},
+		{"1500", `"NaN"`}, {"1500", `"-5"`}, {"1500", `"soon"`}, {"1500", `""`}, {"1500", `"99999999999999999999999"`}, {"1500", "2001"},
+		{"home:4", "home:8"}, {"home:4", "home:-1"}, {"home:4;", ""}, {"copies:3", "copies:0"}, {"copies:3", "copies:NaN"},
+		{"copies:3", "copies:9"}, {"copies:3;", ""}, {"top:2", "top:99"}, {"top:2", "top:Inf"}, {"top:2", "x"},
+		{`a\r`, strings.Repeat("a", Max-roomOnWire)},
 	} {
-		if err := Parse([]byte(strings.Replace(setUp, change[0], change[1], 1)), &m); err != nil {
+		text := strings.Replace(strings.Replace(setUp, ";at:s-1", "", 1), change[0], change[1], 1)
+		if err := Parse([]byte(text), &m); err != nil {
 			t.Fatal(err)
 		}
 		if _, err := catalog.Setup(&m, time.Time{}); err == nil {
@@ -45,6 +50,7 @@
 		"", "{}", "[]", `{"type":1`, `{"type":"a"}x`, `{"type":"a",}`, `{"type":"a" "b":1}`, `{"type":"\x"}`, `{"type":"\u12"}`,
 		"{\"type\":\"a\n\"}", `{"type":"a","cause":-1}`, `{"type":"a","cause":"x"}`, `{"type":"a","fields":{"b":[1]}}`,
 		`{"type":"a","b":` + strings.Repeat("[", 40) + strings.Repeat("]", 40) + `}`, `{"type":"a","b":tru}`, `{"type":"a","b":1.2.3}`,
+		`{"type":"a","sdp":"\ud800x"}`, "{\"type\":\"a\xff\"}",
 	} {
 		if err := Parse([]byte(s), new(Message)); err == nil {
 			t.Errorf("no error for %q", s)
--- a/internal/front/peer/peer.go
+++ b/internal/front/peer/peer.go
@@ -1,5 +1,6 @@
 // Package peer is a viewer's connection as both fronts know it: an actor that
-// writes what is in its mailbox, and a loop that accepts within a limit.
+// writes what is in its mailbox, and a loop that accepts within a limit and
+// closes what only takes up room.
 package peer
 
 import (
@@ -19,17 +20,113 @@
 const (
 	outLimit  = 512             // messages that wait for one connection
 	writeTime = 2 * time.Second // after which a reader is too slow
+	// wordTime is how long a connection may take to send a whole message, and how
+	// long one that is owed no answer may go without any word of ours.
+	wordTime  = 2 * time.Second
+	idleTime  = 30 * time.Second // without a message, and with no set-up open
+	watchTime = 100 * time.Millisecond
+	// mostOpen is how many set-ups may be open on one connection.
+	mostOpen = 128
 )
 
 // Conn is one connection. Its owner reads; what is Put is written by an actor.
 type Conn struct {
 	net.Conn
+	Host   string // the address at the other end, without the port
 	out    *mailbox.Box[[]byte]
 	gone   chan struct{}
 	finish chan struct{}
 	bye    atomic.Pointer[[]byte]
 	once   sync.Once
 	ending sync.Once
+
+	came  time.Time
+	begun atomic.Int64 // when the message under way began, after came; 0: none is
+	whole atomic.Int64 // when the last whole message had come, after came
+	told  atomic.Bool  // something was put
+	known atomic.Bool  // a session of its stands or stood
+
+	mu   sync.Mutex
+	open map[uint64]struct{} // set-ups that are owed an answer
+}
+
+func newConn(nc net.Conn) *Conn {
+	host, _, _ := net.SplitHostPort(nc.RemoteAddr().String())
+	c := &Conn{
+		Conn: nc, Host: host, out: mailbox.New[[]byte](outLimit),
+		gone: make(chan struct{}), finish: make(chan struct{}), came: time.Now(),
+		open: make(map[uint64]struct{}),
+	}
+	c.begun.Store(1)
+	return c
+}
+
+// Whole tells that a message has been read, and whether a part of the next one
+// has come with it.
+func (c *Conn) Whole(more bool) {
+	now := int64(time.Since(c.came)) + 1
+	c.whole.Store(now)
+	if !more {
+		now = 0
+	}
+	c.begun.Store(now)
+}
+
+// Read notes when a message begins.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.begun.CompareAndSwap(0, int64(time.Since(c.came))+1)
+	}
+	return n, err
+}
+
+// Opened counts a set-up as open until Answered. False: too many are.
+func (c *Conn) Opened(id uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.open) >= mostOpen {
+		return false
+	}
+	c.open[id] = struct{}{}
+	return true
+}
+
+// Answered ends what Opened began.
+func (c *Conn) Answered(id uint64) {
+	c.mu.Lock()
+	delete(c.open, id)
+	c.mu.Unlock()
+}
+
+// owes tells whether a set-up is open.
+func (c *Conn) owes() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open) > 0
+}
+
+// Know marks a connection whose client has had a session.
+func (c *Conn) Know() { c.known.Store(true) }
+
+// Known tells whether its client has had a session.
+func (c *Conn) Known() bool { return c.known.Load() }
+
+// overdue tells why a connection is to be closed by now.
+func (c *Conn) overdue(now time.Time) string {
+	age := now.Sub(c.came)
+	begun, whole := time.Duration(c.begun.Load()), time.Duration(c.whole.Load())
+	switch {
+	case begun > 0 && age-begun > wordTime:
+		return "no whole message"
+	case c.owes():
+		return ""
+	case !c.told.Load() && !c.Known() && age > wordTime:
+		return "nothing to answer"
+	case age-whole > idleTime:
+		return "idle"
+	}
+	return ""
 }
 
 // Put queues bytes. A reader that lets too many wait loses its connection.
@@ -45,6 +142,7 @@
 		c.Close()
 		return false
 	}
+	c.told.Store(true)
 	return true
 }
 
@@ -95,39 +193,106 @@
 	}
 }
 
-// Serve accepts up to most connections at once until ctx ends, and handles
-// each until handle returns.
+// room is the connections that are open on one listener.
+type room struct {
+	most int
+	mu   sync.Mutex
+	all  map[*Conn]bool
+}
+
+// enter makes room for c. A full room loses the connection that is missed
+// least; if all have set-ups open, c can't enter.
+func (r *room) enter(c *Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.all) >= r.most {
+		var least *Conn
+		for o := range r.all {
+			if !o.owes() && (least == nil || o.before(least)) {
+				least = o
+			}
+		}
+		if least == nil {
+			return false
+		}
+		delete(r.all, least)
+		least.Close()
+	}
+	r.all[c] = true
+	return true
+}
+
+// before tells whether c is missed less than o: its client has had no session,
+// it has sent no whole message, it has been idle for longer.
+func (c *Conn) before(o *Conn) bool {
+	if k := c.Known(); k != o.Known() {
+		return !k
+	}
+	cw, ow := c.whole.Load(), o.whole.Load()
+	if (cw == 0) != (ow == 0) {
+		return cw == 0
+	}
+	return c.came.Add(time.Duration(cw)).Before(o.came.Add(time.Duration(ow)))
+}
+
+func (r *room) leave(c *Conn) {
+	r.mu.Lock()
+	delete(r.all, c)
+	r.mu.Unlock()
+}
+
+// watch closes what is overdue, until ctx ends.
+func (r *room) watch(ctx context.Context, log *zap.Logger) error {
+	tick := time.NewTicker(watchTime)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			r.mu.Lock()
+			for c := range r.all {
+				if why := c.overdue(now); why != "" {
+					log.Debug("viewer's connection closed", zap.String("from", c.Host), zap.String("why", why))
+					c.Finish()
+				}
+			}
+			r.mu.Unlock()
+		}
+	}
+}
+
+// Serve accepts until ctx ends, holds up to most connections at once, and
+// handles each until handle returns.
 func Serve(ctx context.Context, l net.Listener, most int, log *zap.Logger, handle func(context.Context, *Conn)) error {
 	group, ctx := errgroup.WithContext(ctx)
 	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
-	// Guard: descriptors beyond the viewers' part are not accepted.
-	slots := make(chan struct{}, most)
+	r := &room{most: most, all: make(map[*Conn]bool)}
+	group.Go(func() error { return r.watch(ctx, log) })
 	for {
-		select {
-		case slots <- struct{}{}:
-		case <-ctx.Done():
-			return group.Wait()
-		}
 		nc, err := l.Accept()
 		if ctx.Err() != nil {
+			if err == nil {
+				nc.Close()
+			}
 			return group.Wait()
 		}
 		if err != nil {
-			<-slots
 			log.Warn("accept", zap.Error(err))
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		c := &Conn{
-			Conn: nc, out: mailbox.New[[]byte](outLimit),
-			gone: make(chan struct{}), finish: make(chan struct{}),
+		c := newConn(nc)
+		// Guard: descriptors beyond the viewers' part are not held, and those who
+		// say nothing or stay for good lock nobody out.
+		if !r.enter(c) {
+			nc.Close()
+			continue
 		}
-		var both sync.WaitGroup
-		both.Add(2)
-		group.Go(func() error { defer both.Done(); c.write(ctx); return nil })
+		group.Go(func() error { c.write(ctx); return nil })
 		group.Go(func() error {
-			defer both.Done()
+			defer r.leave(c)
 			defer c.Finish()
 			defer func() {
 				// Guard: what one peer sends costs at most its connection.
@@ -138,6 +303,5 @@
 			handle(ctx, c)
 			return nil
 		})
-		group.Go(func() error { both.Wait(); <-slots; return nil })
 	}
 }
--- a/internal/front/peer/peer_test.go
+++ b/internal/front/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 )
@@ -104,3 +105,76 @@
 		t.Error(err)
 	}
 }
+
+// at makes a connection that is as old as age.
+func at(age time.Duration) *Conn {
+	near, _ := net.Pipe()
+	c := newConn(near)
+	c.came = time.Now().Add(-age)
+	return c
+}
+
+// What says nothing, drips, or stays for good is closed; what is owed an answer
+// or is in use is not.
+func TestOverdue(t *testing.T) {
+	ever := 9 * idleTime
+	for name, e := range map[string]struct {
+		age  time.Duration
+		do   func(*Conn)
+		want string
+	}{
+		"new":               {wordTime / 2, func(c *Conn) {}, ""},
+		"silent":            {wordTime * 2, func(c *Conn) {}, "no whole message"},
+		"drips":             {ever, func(c *Conn) { c.whole.Store(int64(ever - 3*wordTime)); c.begun.Store(int64(ever - 2*wordTime)) }, "no whole message"},
+		"half the next":     {ever, func(c *Conn) { c.Put(nil); c.Whole(true) }, ""},
+		"drips on a set-up": {ever, func(c *Conn) { c.Opened(1); c.begun.Store(1) }, "no whole message"},
+		"takes all back":    {wordTime * 2, func(c *Conn) { c.Whole(false); c.Opened(1); c.Answered(1) }, "nothing to answer"},
+		"waits":             {wordTime * 2, func(c *Conn) { c.Whole(false); c.Opened(1) }, ""},
+		"waits for long":    {ever, func(c *Conn) { c.whole.Store(1); c.begun.Store(0); c.Opened(1) }, ""},
+		"is told":           {wordTime * 2, func(c *Conn) { c.Whole(false); c.Put(nil) }, ""},
+		"stays for good":    {ever, func(c *Conn) { c.whole.Store(1); c.begun.Store(0); c.Put(nil) }, "idle"},
+		"in use":            {ever, func(c *Conn) { c.Put(nil); c.Whole(false) }, ""},
+		"has its session":   {wordTime * 2, func(c *Conn) { c.Whole(false); c.Know() }, ""},
+	} {
+		c := at(e.age)
+		e.do(c)
+		if got := c.overdue(time.Now()); got != e.want {
+			t.Errorf("%s: %q, want %q", name, got, e.want)
+		}
+	}
+}
+
+// A full room goes on taking connections: the one that is missed least goes.
+func TestFullRoom(t *testing.T) {
+	known, busy, asked, idle, silent := at(9*time.Hour), at(9*time.Hour), at(8*time.Hour), at(7*time.Hour), at(0)
+	known.Know()
+	busy.Opened(1)
+	asked.whole.Store(int64(7 * time.Hour))
+	idle.whole.Store(int64(time.Hour))
+	r := &room{most: 5, all: map[*Conn]bool{known: true, busy: true, asked: true, idle: true, silent: true}}
+	for i, gone := range []*Conn{silent, idle, asked, known} {
+		c := at(0)
+		c.Opened(1)
+		if !r.enter(c) || r.all[gone] || len(r.all) != 5 {
+			t.Errorf("%d: the wrong one went", i)
+		}
+	}
+	if r.enter(at(0)) {
+		t.Error("a set-up lost its connection")
+	}
+}
+
+func TestMostOpen(t *testing.T) {
+	c := at(0)
+	for id := range uint64(mostOpen) {
+		if !c.Opened(id) {
+			t.Fatal(id)
+		}
+	}
+	if c.Opened(mostOpen) {
+		t.Error("no limit")
+	}
+	if c.Answered(1); !c.Opened(mostOpen) {
+		t.Error("an answered set-up is still counted")
+	}
+}
--- a/internal/front/websocket/websocket.go
+++ b/internal/front/websocket/websocket.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	openTime = 5 * time.Second  // for the opening handshake
+	openTime = 2 * time.Second  // for the opening handshake
 	pingTime = 10 * time.Second // between pings
 	deadTime = 25 * time.Second // without a byte, after which a socket is lost
 	// readSize holds the longest frame with its header.
@@ -68,6 +68,13 @@
 // Deliver sends a reply on this socket. If it is lost, the broker keeps the
 // reply for the player to come back.
 func (c *conn) Deliver(r broker.Reply) bool {
+	c.Answered(uint64(r.ID))
+	switch r.Kind {
+	case broker.GivenUp:
+		return true
+	case broker.Served:
+		c.Know()
+	}
 	return c.Put(appendFrame(nil, opText, message.AppendReply(nil, r)))
 }
 
@@ -84,6 +91,7 @@
 		}
 		return false
 	}
+	c.Whole(c.in.Buffered() > 0)
 	response, ok := handshake(&req, c.front.Path)
 	return c.Put(response) && ok
 }
@@ -118,6 +126,9 @@
 			}
 			return err
 		}
+		if c.kind == 0 || f.fin && f.op == opContinue { // a message in parts counts when it is whole
+			c.Whole(c.in.Buffered() > 0)
+		}
 		if err := c.frame(&f); err != nil {
 			return err
 		}
@@ -198,8 +209,9 @@
 		return closeError(closeProtocol)
 	case err != nil:
 		c.Deliver(broker.Reply{Kind: broker.Failed, ID: r.ID, Cause: broker.CauseFailed})
-	case !c.front.Core.Submit(r):
-		// The module's mailbox is full: nothing has been tried.
+	case !c.Opened(uint64(r.ID)) || !c.front.Core.Submit(r):
+		// Guard: too many wait, on this socket or before the module. Nothing has
+		// been tried.
 		c.Deliver(broker.Reply{Kind: broker.Refused, ID: r.ID, Cause: broker.CauseRefused, Wait: time.Second})
 	}
 	return nil
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -44,6 +44,9 @@
 	}
 }
 
+// Buffered is how many bytes have been read and not been taken.
+func (r *Reader) Buffered() int { return r.end - r.start }
+
 func (r *Reader) fill() error {
 	if r.start > 0 {
 		r.end = copy(r.buf, r.buf[r.start:r.end])
