Rest a node for its own faults only, and end connections that spoilt an answer

A probe's log showed 172 set-ups of bad clients on titles no node has, each answered 500; control's judge rested the node 2 s for each, and a feed went on to rest up to four. A broken connection was taken as a restart (chill) though the node had only spoilt one answer, and one answer that never came kept its node out (usable) while it served others.

Ruled out: locked-out viewers (8 client sockets open, none refused), slow managers (CPU at most 0.13 in a second).

Now: an error counts against a node only on a title known to play, or when 6 come with no start between; Reset tells whether a new connection could be opened since (Confined); silence is counted from the last sign of life. Nodes are probed more closely where many viewers come, at a quarter probe for each. media ends a connection at spoilt or partial messages, takes no NaN or Inf, gives silent connections no new set-ups, tears down only what it gave up, and takes a new node at another's address for a new node. The coordinator's answers are checked whole before any event is applied.

--- a/control/api.go
+++ b/control/api.go
@@ -168,6 +168,7 @@
 	Server   Server
 	Attempt  int
 	Status   Status
+	Confined bool // Reset: the server is known to be there still
 	Finished bool
 	Load     []float64 // in the order of Settings.Fields
 	Note     NoteKind
--- a/control/control.go
+++ b/control/control.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 )
@@ -19,6 +20,7 @@
 	rescoreS  = 10  // s between re-scorings of the reserves
 	ratesS    = 30  // s of arrivals that a re-scoring measures
 	priorHold = 60  // s, a session's length until ends are seen; long errs to caution in raising rungs
+	usualGoal = 1.5 // s, the goal that the times of health below suit; they shrink with a shorter one
 	mostSlots = 256 // slots that a re-scoring searches; it takes their square in time
 	staleS    = 12  // s after which what a report said of others' load is dropped
 
@@ -32,6 +34,8 @@
 	unseen     = 1    // added to the use of a holder whose load isn't known
 	roomPart   = 0.5  // of the room that a newcomer leaves if all other arrivals are of other fronts
 	probeS     = 30   // s between probes of a server that tells its load in no other way; each is priced
+	probePart  = 0.25 // probes for each arrival, where many come: the price is by arrival
+	leastProbe = 1    // s between them at the least; reports are no fresher
 	smooth     = 0.7  // weight of a new note against an older one of about the same time
 	smoothLoad = 0.25 // weight of a load report likewise; it is noisier
 	blendS     = 3    // s after which an older report counts no more beside a new one
@@ -42,6 +46,8 @@
 	reactS     = 1    // s, beyond the notes' lateness, until a report can show what others did
 
 	// Health.
+	strangeN   = 6     // errors on titles that never played, with no start between, that rest a server
+	titlesS    = 60    // s for which a title is remembered to have played
 	restS      = 2     // s that a server rests after a full or failing answer
 	silentS    = 1     // s a set-up may be unanswered before its server is left alone
 	patienceS  = 0.4   // s, the shortest time-out of a set-up that may be sent again
@@ -78,6 +84,10 @@
 		reserve: make([]float64, len(set.Classes)),
 		mix:     make([]float64, len(set.Classes)),
 		middle:  set.RatesKB[len(set.RatesKB)/2],
+		titles:  make(map[uint64]float64),
+	}
+	for _, k := range set.Classes {
+		c.unit = min(max(c.unit, k.GoalS/usualGoal), 1)
 	}
 	for range max(set.Racks, 1) {
 		c.racks = append(c.racks, &rack{pipe: newPipe()})
@@ -122,6 +132,12 @@
 	return c.out
 }
 
+// heard notes a sign of life of a server.
+func (c *Controller) heard(sv *server) { sv.heardAt = c.now }
+
+// quiet is how long a server has given no sign of life since a time.
+func (c *Controller) quiet(sv *server, since float64) float64 { return c.now - max(since, sv.heardAt) }
+
 // The server list.
 
 func (c *Controller) onList(e Event) {
@@ -367,6 +383,7 @@
 	s := c.newSession(e)
 	s.attempt, s.playing, s.playedAt, s.changedAt = 1, true, c.now, c.now-dwellS
 	c.attach(s, sv)
+	c.titles[s.title] = c.now
 }
 
 // candidate is a holder in the order in which it is tried.
@@ -480,7 +497,7 @@
 		}
 	}
 	for _, o := range sv.sessions { // a silent server takes work and answers nothing
-		if !o.playing && c.now-o.sentAt > silentS {
+		if !o.playing && c.quiet(sv, o.sentAt) > silentS*c.unit {
 			return false
 		}
 	}
@@ -572,7 +589,7 @@
 	c.emit(Action{Kind: ActRung, Session: s.id, Rung: rung})
 	patience := 0.0 // an early time-out of a set-up that must not run twice forfeits it
 	if left := s.goal - c.now; k.Effect != AtMostOnce && left > 0 {
-		patience = max(left/2, patienceS)
+		patience = max(left/2, patienceS*c.unit)
 	}
 	c.emit(Action{Kind: ActHandOff, Session: s.id, Server: sv.Server, PatienceS: patience})
 	c.attach(s, sv)
@@ -594,6 +611,9 @@
 func (c *Controller) onFirst(s *session, e Event) {
 	if s.server != nil && s.server.Server == e.Server && !s.playing {
 		s.playing, s.playedAt, s.changedAt = true, c.now, c.now
+		s.server.faults = 0
+		c.heard(s.server)
+		c.titles[s.title] = c.now
 	}
 }
 
@@ -609,9 +629,7 @@
 	}
 	c.onLoad(sv, e.Load)
 	c.detach(s)
-	if !played || e.Status != TimedOut {
-		c.judge(sv, e.Status)
-	}
+	c.judge(s, sv, e)
 	if e.Finished || s.gone {
 		delete(c.sessions, s.id)
 		return
@@ -625,19 +643,36 @@
 	c.place(s)
 }
 
-// judge keeps a server's health by how its attempts end.
-func (c *Controller) judge(sv *server, status Status) {
-	switch status {
+// judge keeps a server's health by how its attempts end. Guard: what may be the
+// fault of the set-up or of its connection is not held against a server that
+// serves others, or a few bad viewers would rest the whole fleet.
+func (c *Controller) judge(s *session, sv *server, e Event) {
+	switch e.Status {
 	case OK, Cancelled, Moot:
 		return
 	case Reset, ConnectFailed: // its process may be gone or have come back cold
+		if e.Confined {
+			return
+		}
 		c.chill(sv, c.now)
+	case TimedOut:
+		if c.quiet(sv, s.sentAt) <= silentS*c.unit/2 {
+			return
+		}
+	case Errored:
+		c.heard(sv)
+		if _, known := c.titles[s.title]; !known {
+			if sv.faults++; sv.faults < strangeN {
+				return
+			}
+		}
 	case Full:
+		c.heard(sv)
 		if c.set.Guard > 0 {
 			sv.observe(c.now, max(c.set.Guard*c.link(sv), sv.own+c.othersOn(sv)), smooth)
 		}
 	}
-	sv.restTil = c.now + restS
+	sv.restTil = c.now + restS*c.unit
 }
 
 // Notes and reports.
@@ -672,9 +707,10 @@
 func (c *Controller) onProbed(e Event) {
 	c.probesOut = max(c.probesOut-1, 0)
 	if sv := c.servers[e.Server]; sv != nil && e.Status == OK {
+		c.heard(sv)
 		c.onLoad(sv, e.Load)
-	} else if sv != nil {
-		sv.restTil = c.now + restS
+	} else if sv != nil && c.quiet(sv, 0) > silentS*c.unit {
+		sv.restTil = c.now + restS*c.unit
 	}
 	c.placeWaiting(true)
 }
@@ -715,6 +751,7 @@
 		if c.now >= c.rescoreAt {
 			c.rescoreAt = c.now + rescoreS
 			c.rescore()
+			maps.DeleteFunc(c.titles, func(_ uint64, at float64) bool { return at < c.now-titlesS })
 		}
 	}
 }
@@ -739,8 +776,13 @@
 	if c.set.Feed != FeedProbe || !c.set.Probes {
 		return
 	}
+	rate := 0.0
+	for _, times := range c.arrivals {
+		rate += float64(len(since(times, c.now-rescoreS))) / rescoreS
+	}
+	every := min(max(float64(len(c.order))/(probePart*rate), leastProbe), probeS)
 	for _, sv := range c.order {
-		if sv.State == Ready && c.now >= sv.probeAt && len(sv.sessions) > 0 {
+		if sv.State == Ready && c.now >= sv.probedAt+every && len(sv.sessions) > 0 {
 			c.probe(sv)
 		}
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -31,9 +31,11 @@
 	coldTil  float64
 	coldAt   float64 // assumed start, while now < coldTil
 	nextSend float64
-	probeAt  float64
+	probedAt float64
 	raisedOn float64 // the report that rungs were last raised on
 	restTil  float64
+	heardAt  float64 // the last sign of life
+	faults   int     // errors on titles that never played, since the last start
 }
 
 // A session is one try of one viewer, from its arrival to its end.
@@ -96,7 +98,9 @@
 	sessions map[SessionID]*session
 	waiting  []*session
 	seats    map[seatKey]int
-	middle   float64 // kB a second of a slot
+	titles   map[uint64]float64 // when each last started to play
+	unit     float64            // the classes' longest goal over the usual one, 1 at most
+	middle   float64            // kB a second of a slot
 
 	own       float64     // kB a second that this front's sessions ask for
 	shares    []bucket    // what is left of each tenant's share
@@ -256,7 +260,7 @@
 }
 
 func (c *Controller) probe(sv *server) {
-	sv.probeAt = c.now + probeS
+	sv.probedAt = c.now
 	c.probesOut++
 	c.emit(Action{Kind: ActProbe, Server: sv.Server})
 }
--- a/internal/broker/api.go
+++ b/internal/broker/api.go
@@ -112,7 +112,8 @@
 	ID          control.SessionID
 	Number      int // of the attempt; 0: whichever
 	Status      control.Status
-	Cause       int // of a release by the node
+	Cause       int  // of a release by the node
+	Confined    bool // Reset: only the connection broke, the node is there
 	Load        []float64
 	Note        control.NoteKind
 	Value       float64
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	// inboxLimit bounds what fronts may have waiting before the module.
-	inboxLimit = 4096
+	// perMB bounds what fronts may have waiting before the module: messages for
+	// each MB of memory. Each holds up to 16 KiB, so together they may take a
+	// quarter of it.
+	perMB = 16
 	// answerMargin is kept before a viewer's deadline for the answer's way.
 	answerMargin = 100 * time.Millisecond
 	// lastMargin is when the broker answers itself what the module has not.
@@ -36,6 +38,7 @@
 type Config struct {
 	Settings control.Settings
 	Seed     uint64
+	MemoryMB int
 	Teams    []Team
 	Nodes    Nodes
 	Log      *zap.Logger
@@ -70,7 +73,7 @@
 	}
 	return &Broker{
 		set: set, ctl: ctl, nodes: cfg.Nodes, log: cfg.Log, clock: newClock(),
-		inbox:    mailbox.New[any](inboxLimit),
+		inbox:    mailbox.New[any](max(cfg.MemoryMB, 1) * perMB),
 		sessions: make(map[control.SessionID]*session),
 		ended:    make(map[control.SessionID]Reply),
 		open:     make(map[control.SessionID]bool),
@@ -158,11 +161,19 @@
 	if b.stopping.IsZero() || b.clock.now().Before(b.stopping) || len(b.open) > 0 {
 		return
 	}
+	if !b.finished() {
+		b.closeStanding()
+		close(b.drained)
+	}
+}
+
+// finished tells whether the program is about to end.
+func (b *Broker) finished() bool {
 	select {
 	case <-b.drained:
+		return true
 	default:
-		b.closeStanding()
-		close(b.drained)
+		return false
 	}
 }
 
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -293,6 +293,21 @@
 	}
 }
 
+// What comes after the drain is answered too.
+func TestRequestAtTheEnd(t *testing.T) {
+	b, f := bed(t)
+	b.handle(drain{})
+	b.ask(f, 1, clip, -1, 0)
+	b.stopping = b.clock.now()
+	b.checkDrained()
+	b.tells(1, Started, 0)
+	b.checkDrained()
+	b.ask(f, 2, clip, -1, 0)
+	if got := f.take(); got != "setup 1, served 1, over 1, teardown 1, refused 2" {
+		t.Error(got)
+	}
+}
+
 func TestMoveEndsBothSides(t *testing.T) {
 	b, f := bed(t)
 	b.ask(f, 1, feed, -1, 0)
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -9,6 +9,9 @@
 	"millethinge/control"
 )
 
+// lastWait is how long a viewer should stay away from a program that ends.
+const lastWait = 100 * time.Millisecond
+
 // session is one request from its arrival until all of it has ended.
 type session struct {
 	Request
@@ -38,6 +41,12 @@
 		r.Client.Deliver(last)
 		return
 	}
+	if b.finished() {
+		// Guard: a request that comes as the program ends is answered too. It was
+		// not tried, and the next manager may take it.
+		r.Client.Deliver(Reply{Kind: Refused, ID: r.ID, Cause: CauseRefused, Wait: lastWait})
+		return
+	}
 	s := &session{Request: r, client: r.Client, deadline: r.Came.Add(r.Left), rung: b.set.Classes[r.Class].Floor}
 	e := control.Event{
 		Session: r.ID, Class: r.Class, Tenant: r.Team, Title: r.Title,
@@ -328,7 +337,7 @@
 		s.mayRun = true
 	}
 	b.tell(control.Event{Kind: control.EvEnd, Session: s.ID, Attempt: s.attempt - 1, Server: s.server,
-		Status: r.Status, Finished: s.answered, Load: r.Load})
+		Status: r.Status, Confined: r.Confined, Finished: s.answered, Load: r.Load})
 	b.forget(s)
 }
 
--- a/internal/directory/coordinator.go
+++ b/internal/directory/coordinator.go
@@ -22,6 +22,13 @@
 	maxPoll     = 4 << 20                // bytes of an answer
 )
 
+// Phases of a media node.
+const (
+	inService   = "in_service"
+	terminating = "terminating"
+	terminated  = "terminated"
+)
+
 // Updates is the coordinator's numbered events, as in its answers and in the
 // configuration.
 type Updates struct {
@@ -52,9 +59,34 @@
 	if err := json.Unmarshal(text, &u); err != nil {
 		return u, fmt.Errorf("directory: %w", err)
 	}
+	for _, e := range u.Updates {
+		if err := e.Endpoints.check(); err != nil {
+			return u, fmt.Errorf("directory: event %d: %w", e.Index, err)
+		}
+	}
 	return u, nil
 }
 
+// check tells what is wrong with an event. Guard: one fault voids the answer
+// that it came in, so that none is applied by half.
+func (e *endpoints) check() error {
+	if e == nil {
+		return nil
+	}
+	for i, m := range e.Members {
+		_, _, err := net.SplitHostPort(m.HostPort)
+		switch {
+		case m.ID == "":
+			return fmt.Errorf("members[%d].id: missing", i)
+		case m.Phase != inService && m.Phase != terminating && m.Phase != terminated:
+			return fmt.Errorf("members[%d].phase: %q", i, m.Phase)
+		case m.Phase != terminated && err != nil:
+			return fmt.Errorf("members[%d].host_port: %w", i, err)
+		}
+	}
+	return nil
+}
+
 func (e *endpoints) change(names Names) Change {
 	c := Change{Full: e.Complete}
 	for _, m := range e.Members {
@@ -63,9 +95,9 @@
 			Zone: index(names.Zones, m.Locality), Kind: index(names.Kinds, m.Flavor),
 		}
 		switch m.Phase {
-		case "in_service":
+		case inService:
 			entry.State = control.Ready
-		case "terminating":
+		case terminating:
 			entry.State = control.Draining
 		default:
 			entry.State = control.Gone
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -115,6 +115,20 @@
 	}
 }
 
+// An answer with a fault in any of its events is no answer.
+func TestFaultyEvents(t *testing.T) {
+	const good = `{"index":2,"updates":[{"index":1,"endpoints":{"members":[{"id":"a","host_port":"h:1","phase":"in_service"}]}},` +
+		`{"index":2,"endpoints":{"members":[{"id":"b","phase":"terminated"}]}}]}`
+	if _, err := ParseUpdates([]byte(good)); err != nil {
+		t.Error(err)
+	}
+	for _, change := range [][2]string{{`"a"`, `""`}, {"h:1", "h"}, {"in_service", "in"}, {`"terminated"`, `""`}, {"]}}]}", ""}} {
+		if _, err := ParseUpdates([]byte(strings.Replace(good, change[0], change[1], 1))); err == nil {
+			t.Errorf("%s for %s: no error", change[1], change[0])
+		}
+	}
+}
+
 // A whole list of one source removes nothing that another named.
 func TestSourcesShareTheList(t *testing.T) {
 	var got []string
--- a/internal/front/peer/peer.go
+++ b/internal/front/peer/peer.go
@@ -223,18 +223,18 @@
 }
 
 // before tells whether c is missed less than o: its client has had no session,
-// it has sent no whole message, it has been idle for longer.
+// or it has been idle for longer. Guard: one that has just come is missed most
+// of these, since its first request is on its way.
 func (c *Conn) before(o *Conn) bool {
 	if k := c.Known(); k != o.Known() {
 		return !k
 	}
-	cw, ow := c.whole.Load(), o.whole.Load()
-	if (cw == 0) != (ow == 0) {
-		return cw == 0
-	}
-	return c.came.Add(time.Duration(cw)).Before(o.came.Add(time.Duration(ow)))
+	return c.last().Before(o.last())
 }
 
+// last is when it last sent a whole message, or came.
+func (c *Conn) last() time.Time { return c.came.Add(time.Duration(c.whole.Load())) }
+
 func (r *room) leave(c *Conn) {
 	r.mu.Lock()
 	delete(r.all, c)
--- a/internal/media/conn.go
+++ b/internal/media/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"math"
 	"net"
 	"strconv"
 	"strings"
@@ -17,12 +19,21 @@
 // nothing makes one wait.
 const writeTime = 200 * time.Millisecond
 
+// partTime bounds how long a message may take to come whole.
+const partTime = 250 * time.Millisecond
+
+// errSpoilt reports a message that is well formed and still not what a node
+// means to send.
+var errSpoilt = errors.New("media: spoilt message")
+
 // conn is one connection to a node. The node's actor writes, a goroutine reads.
 type conn struct {
 	net.Conn
 	open    int       // set-ups open on it
 	touched time.Time // when it last carried anything
-	dead    bool
+	asked   time.Time // when the first set-up was written that nothing has come after; zero: none
+	dead    bool      // nothing more is written on it
+	closeAt time.Time // when a dead one is closed; zero: by whoever made it dead
 }
 
 // write sends one message. It returns how many of its bytes left.
@@ -38,7 +49,7 @@
 // seen the end, is still read: a release that crosses the close is not lost.
 func (c *conn) retire(within time.Duration) {
 	c.dead = true
-	c.SetReadDeadline(time.Now().Add(within))
+	c.closeAt = time.Now().Add(within)
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		half.CloseWrite()
 	}
@@ -68,52 +79,95 @@
 
 // read passes what the node sends to post until the connection ends. post
 // returns false when the mailbox takes no more.
+//
+// Guard: after what is spoilt nothing on a connection can be told apart, so it
+// ends there. That is what can't be parsed, does not come whole in time, lacks
+// what each message has, or is followed by what begins no message.
 func (c *conn) read(fields []string, post func(message) bool) error {
 	in := stream.NewReader(c, rtsp.MaxMessage)
 	var raw rtsp.Message
+	part := false
 	for {
-		err := in.Next(func(b []byte) (int, error) { return rtsp.Parse(b, &raw) })
+		spoilt := false
+		err := in.Next(func(b []byte) (int, error) {
+			n, err := rtsp.Parse(b, &raw)
+			if err != nil {
+				return 0, err
+			}
+			if (n == 0) != part {
+				part = n == 0
+				var until time.Time
+				if part {
+					until = time.Now().Add(partTime)
+				}
+				if err := c.SetReadDeadline(until); err != nil {
+					return 0, err
+				}
+			}
+			spoilt = !begins(b[n:])
+			return n, nil
+		})
 		if err != nil {
 			return err
 		}
-		if !post(understand(&raw, fields)) {
+		m, ok := understand(&raw, fields)
+		if !ok || spoilt {
+			return errSpoilt
+		}
+		if !post(m) {
 			return net.ErrClosed
 		}
 	}
 }
 
-func understand(raw *rtsp.Message, fields []string) message {
-	var m message
+// begins tells whether b can be the start of a message.
+func begins(b []byte) bool { return len(b) == 0 || b[0] >= 'A' && b[0] <= 'Z' }
+
+// understand takes what the actor needs from one message. It tells whether the
+// message has what all of its kind have.
+func understand(raw *rtsp.Message, fields []string) (m message, ok bool) {
 	id, err := strconv.ParseUint(string(raw.Get("Session")), 16, 64)
-	if err != nil {
-		return m
+	if err != nil || raw.Get("Content-Length") == nil {
+		return m, false
 	}
 	m.id, m.status = control.SessionID(id), raw.Status
 	m.load = parseLoad(raw.Get("Link-State"), fields)
 	if raw.Status != 0 {
-		seq, _ := header.Uint(raw.Get("CSeq"))
+		seq, ok := header.Uint(raw.Get("CSeq"))
 		switch {
+		case !ok:
+			return m, false
 		case raw.Status < 200:
 		case seq == seqSetUp:
 			m.kind = answered
+			// Guard: a length that is too long swallows the next message's start.
+			if bytes.Contains(raw.Body, []byte("RTSP/1.0")) {
+				return m, false
+			}
 			// it outlives the read buffer: it goes on to the viewer
 			m.description = bytes.Clone(raw.Body)
 		case seq == seqTest:
 			m.kind = tested
 		}
-		return m
+		return m, true
 	}
 	switch string(raw.Method) {
 	case "TEARDOWN":
 		m.kind, m.cause = ended, parseCause(raw.Get("Reason"))
 	case "ANNOUNCE":
 		m.kind, m.note = noted, notes[string(raw.Get("Fail-Word"))]
-		v, err := strconv.ParseFloat(string(raw.Get("X-Reading")), 64)
-		if m.value = v; err != nil || m.note == 0 {
+		v, ok := number(raw.Get("X-Reading"))
+		if m.value = v; !ok || m.note == 0 {
 			m.kind = other
 		}
 	}
-	return m
+	return m, true
+}
+
+// number reads a figure that can be reckoned with.
+func number(b []byte) (float64, bool) {
+	v, err := strconv.ParseFloat(string(b), 64)
+	return v, err == nil && v >= 0 && !math.IsInf(v, 0)
 }
 
 var notes = map[string]control.NoteKind{
@@ -144,8 +198,8 @@
 			if string(bytes.TrimSpace(name)) != f {
 				continue
 			}
-			v, err := strconv.ParseFloat(string(bytes.TrimSpace(value)), 64)
-			if err != nil {
+			v, ok := number(bytes.TrimSpace(value))
+			if !ok {
 				return nil
 			}
 			load[i], found = v, true
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -7,6 +7,8 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"os"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -38,11 +40,14 @@
 	keepLost    = time.Minute            // how long its sessions' releases wait
 	keepRelease = 10 * time.Second       // how long a release waits for a connection
 	mostConns   = 12                     // to one node; more than open between two closes as idle
+	suspectTime = 200 * time.Millisecond // without a word since a set-up, after which others take another connection
+	keepGiven   = 10 * time.Second       // how long a set-up that was given up is known, for a late answer
 )
 
 // node is the actor of one media node.
 type node struct {
 	pool   *Pool
+	member directory.Member // as the list last said; the pool's, under its lock
 	server control.Server
 	id     string
 	addr   string
@@ -53,6 +58,8 @@
 	conns    []*conn
 	dialling bool
 	attempts map[control.SessionID]*attempt
+	doubted  []*attempt                      // set-ups on a connection that broke, till it is known whether the node did
+	given    map[control.SessionID]time.Time // set-ups that were given up, and till when that is known
 	standing map[control.SessionID]*stand
 	owed     map[control.SessionID]owed // releases without a connection to go on
 	probes   map[uint64]time.Time       // when each is given up
@@ -66,6 +73,7 @@
 type attempt struct {
 	broker.Attempt
 	conn *conn
+	sent time.Time // when its SETUP was written
 }
 
 // stand is a session that plays.
@@ -81,9 +89,10 @@
 
 func newNode(p *Pool, m directory.Member) *node {
 	return &node{
-		pool: p, server: m.Server, id: m.ID, addr: m.Addr, up: m.Up,
+		pool: p, member: m, server: m.Server, id: m.ID, addr: m.Addr, up: m.Up,
 		box:      mailbox.New[any](boxLimit),
 		attempts: make(map[control.SessionID]*attempt),
+		given:    make(map[control.SessionID]time.Time),
 		standing: make(map[control.SessionID]*stand),
 		owed:     make(map[control.SessionID]owed),
 		probes:   make(map[uint64]time.Time),
@@ -120,7 +129,7 @@
 }
 
 func (n *node) idle() bool {
-	return n.listed() == control.Gone && len(n.attempts)+len(n.standing)+len(n.owed) == 0 && !n.dialling
+	return n.listed() == control.Gone && len(n.attempts)+len(n.doubted)+len(n.standing)+len(n.owed) == 0 && !n.dialling
 }
 
 func (n *node) listed() control.State { return control.State(n.state.Load()) }
@@ -163,6 +172,12 @@
 	n.report(broker.Report{Kind: broker.Ended, ID: a.ID, Number: a.Number, Status: status})
 }
 
+// broken ends a set-up that went down with its connection. confined: the node
+// was heard of or reached since, so the fault was the connection's alone.
+func (n *node) broken(a *attempt, confined bool) {
+	n.report(broker.Report{Kind: broker.Ended, ID: a.ID, Number: a.Number, Status: control.Reset, Confined: confined})
+}
+
 func (n *node) drop(a *attempt) {
 	delete(n.attempts, a.ID)
 	if a.conn != nil {
@@ -177,7 +192,7 @@
 func (n *node) usable() *conn {
 	for i := len(n.conns) - 1; i >= 0; i-- {
 		c := n.conns[i]
-		if n.fresh(c) && c.open < n.pool.cfg.StreamsPerConn {
+		if n.fresh(c) && c.open < n.pool.cfg.StreamsPerConn && (!c.suspect() || len(n.conns) >= mostConns) {
 			return c
 		}
 	}
@@ -188,6 +203,10 @@
 	return !c.dead && (c.open > 0 || time.Since(c.touched) < n.pool.cfg.ConnIdle*6/10)
 }
 
+// suspect tells whether a connection has been silent since a set-up for so long
+// that it may be of no use any more.
+func (c *conn) suspect() bool { return !c.asked.IsZero() && time.Since(c.asked) > suspectTime }
+
 // live returns any connection that can carry a message on a session.
 func (n *node) live(first *conn) *conn {
 	if first != nil && n.fresh(first) {
@@ -242,6 +261,7 @@
 	n.heardAt = time.Now()
 	n.conns = append(n.conns, m.conn)
 	n.trim()
+	n.judge(true)
 	for _, a := range n.attempts {
 		if a.conn == nil {
 			n.send(a)
@@ -257,6 +277,15 @@
 	}
 }
 
+// judge ends the set-ups whose connection broke, by whether the node can be
+// reached since.
+func (n *node) judge(reached bool) {
+	for _, a := range n.doubted {
+		n.broken(a, reached)
+	}
+	n.doubted = nil
+}
+
 // trim retires the oldest connection that no set-up needs.
 func (n *node) trim() {
 	live := 0
@@ -283,6 +312,7 @@
 	for ; n.asked > 0; n.asked-- {
 		n.report(broker.Report{Kind: broker.Probed, Status: control.ConnectFailed})
 	}
+	n.judge(false)
 	why := fmt.Sprint("no connection: ", err)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED) && len(n.conns) == 0: // no process is there
@@ -343,9 +373,20 @@
 			break
 		}
 	}
+	// What a node spoilt, it sent. Else a new connection tells whether the node is
+	// there still: a dying process resets its connections too.
+	spoke := errors.Is(m.err, errSpoilt) || errors.Is(m.err, rtsp.ErrSyntax) || errors.Is(m.err, os.ErrDeadlineExceeded)
 	for _, a := range n.attempts {
-		if a.conn == m.conn {
-			n.end(a, control.Reset)
+		if a.conn != m.conn {
+			continue
+		}
+		n.drop(a)
+		n.giveAway(a.ID)
+		if spoke || n.listed() == control.Gone {
+			n.broken(a, spoke)
+		} else {
+			n.doubted = append(n.doubted, a)
+			n.connect()
 		}
 	}
 	for _, s := range n.standing {
@@ -361,6 +402,9 @@
 	}
 }
 
+// giveAway notes a set-up that nobody waits for any more.
+func (n *node) giveAway(id control.SessionID) { n.given[id] = time.Now().Add(keepGiven) }
+
 // look gives up late probes and looks after silent nodes.
 func (n *node) look(now time.Time) {
 	for id, until := range n.probes {
@@ -374,6 +418,16 @@
 			delete(n.owed, id)
 		}
 	}
+	for id, until := range n.given {
+		if now.After(until) {
+			delete(n.given, id)
+		}
+	}
+	for _, c := range n.conns {
+		if !c.closeAt.IsZero() && now.After(c.closeAt) {
+			n.close(c)
+		}
+	}
 	// A machine that is cut off keeps its connections open and silent: only a
 	// new one tells. It also brings releases that found no connection.
 	quiet := now.Sub(n.heardAt) > silentTime
@@ -422,13 +476,17 @@
 		n.buf = b
 		sent, err := c.write(b)
 		if err == nil {
-			a.conn = c
+			a.conn, a.sent = c, c.touched
 			c.open++
+			if c.asked.IsZero() {
+				c.asked = a.sent
+			}
 			return
 		}
 		n.close(c)
 		if sent > 0 { // a part has left: it may have run
-			n.end(a, control.Reset)
+			n.drop(a)
+			n.broken(a, false)
 			return
 		}
 	}
@@ -437,6 +495,13 @@
 // giveUp ends an attempt. It is out until its TEARDOWN is written, or until its
 // connection, whose end gives it up too, is closed.
 func (n *node) giveUp(m giveUp) {
+	for i, a := range n.doubted {
+		if a.ID == m.id && a.Number == m.number {
+			n.doubted = slices.Delete(n.doubted, i, i+1)
+			n.broken(a, false)
+			return
+		}
+	}
 	a := n.attempts[m.id]
 	if a == nil || a.Number != m.number {
 		return // its end or answer is on its way to the broker
@@ -448,10 +513,18 @@
 	case m.timedOut:
 		status = control.TimedOut
 	}
-	if a.conn != nil {
-		n.tearDown(a.conn, a.ID, 0)
+	c := a.conn
+	if c != nil {
+		n.giveAway(a.ID)
+		n.tearDown(c, a.ID, 0)
 	}
 	n.end(a, status)
+	if status == control.TimedOut && !c.asked.IsZero() && !a.sent.Before(c.asked) && !c.dead {
+		// Guard: nothing has come since this set-up left, nor may anything more.
+		// The others on it keep their chance; no new one is put there.
+		c.dead = true
+		c.closeAt = time.Now().Add(n.pool.cfg.ConnIdle)
+	}
 }
 
 // tearDown writes a TEARDOWN on c, or closes c, which says as much.
@@ -539,7 +612,7 @@
 // heard takes one message of the node.
 func (n *node) heard(m heard) {
 	now := time.Now()
-	n.heardAt, m.conn.touched = now, now
+	n.heardAt, m.conn.touched, m.conn.asked = now, now, time.Time{}
 	switch m.kind {
 	case answered:
 		n.answered(m)
@@ -562,9 +635,10 @@
 // answered takes a final answer to a SETUP.
 func (n *node) answered(m heard) {
 	a := n.attempts[m.id]
-	if a == nil || a.conn != m.conn {
-		if _, stands := n.standing[m.id]; m.status == 200 && !stands {
-			// Guard: a late 200 to a set-up that was given up is torn down.
+	if a == nil || a.conn == nil {
+		if _, given := n.given[m.id]; given && m.status == 200 {
+			// Guard: a late 200 to a set-up that was given up is torn down. A second
+			// copy of an answer, or one to an id never asked for, does nothing.
 			n.tearDown(m.conn, m.id, 0)
 		}
 		return
@@ -590,7 +664,8 @@
 // released takes a node's TEARDOWN of a session or of a set-up.
 func (n *node) released(m heard) {
 	if a := n.attempts[m.id]; a != nil {
-		n.end(a, control.Reset)
+		n.drop(a)
+		n.broken(a, true)
 		return
 	}
 	if n.standing[m.id] == nil {
--- a/internal/media/pool.go
+++ b/internal/media/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,6 +56,11 @@
 func (p *Pool) Apply(c directory.Change) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for _, m := range c.Members {
+		if m.State == control.Ready && p.nodes[m.Server] == nil {
+			p.replace(m.Addr, c.Members)
+		}
+	}
 	for _, m := range c.Members {
 		n := p.nodes[m.Server]
 		if n == nil {
@@ -67,11 +73,25 @@
 			p.group.Go(n.run)
 			continue
 		}
+		n.member = m
 		n.state.Store(int32(m.State))
 		n.box.Force(listChange{m})
 	}
 }
 
+// replace takes a new node's address from whichever had it, but for those that
+// the same change names. Guard: the old one's process is gone before the list
+// says so, and what is meant for it must not reach its successor.
+func (p *Pool) replace(addr string, named []directory.Member) {
+	for _, n := range p.nodes {
+		same := func(m directory.Member) bool { return m.Server == n.server }
+		if n.member.Addr == addr && !slices.ContainsFunc(named, same) {
+			n.state.Store(int32(control.Gone))
+			n.box.Force(listChange{n.member})
+		}
+	}
+}
+
 // remove drops a node that is gone and has nothing left to do.
 func (p *Pool) remove(n *node) bool {
 	p.mu.Lock()
