--- a/control/control.go
+++ b/control/control.go
@@ -34,7 +34,7 @@
 	unseen     = 1    // added to the use of a holder whose load isn't known
 	roomPart   = 0.5  // of the room that a newcomer leaves if all other arrivals are of other fronts
 	probeS     = 30   // s between probes of a server that tells its load in no other way; each is priced
-	probePart  = 0.25 // probes for each arrival, where many come: the price is by arrival
+	probePart  = 0.12 // probes for each arrival, where many come: the price is by arrival
 	leastProbe = 1    // s between them at the least; reports are no fresher
 	smooth     = 0.7  // weight of a new note against an older one of about the same time
 	smoothLoad = 0.25 // weight of a load report likewise; it is noisier
@@ -656,7 +656,7 @@
 		}
 		c.chill(sv, c.now)
 	case TimedOut:
-		if c.quiet(sv, s.sentAt) <= silentS*c.unit/2 {
+		if c.quiet(sv, 0) < patienceS*c.unit {
 			return
 		}
 	case Errored:
@@ -709,7 +709,7 @@
 	if sv := c.servers[e.Server]; sv != nil && e.Status == OK {
 		c.heard(sv)
 		c.onLoad(sv, e.Load)
-	} else if sv != nil && c.quiet(sv, 0) > silentS*c.unit {
+	} else if sv != nil && c.quiet(sv, 0) > patienceS*c.unit {
 		sv.restTil = c.now + restS*c.unit
 	}
 	c.placeWaiting(true)
