--- a/control/control.go
+++ b/control/control.go
@@ -34,8 +34,6 @@
 	unseen     = 1    // added to the use of a holder whose load isn't known
 	roomPart   = 0.5  // of the room that a newcomer leaves if all other arrivals are of other fronts
 	probeS     = 30   // s between probes of a server that tells its load in no other way; each is priced
-	probePart  = 0.12 // probes for each arrival, where many come: the price is by arrival
-	leastProbe = 1    // s between them at the least; reports are no fresher
 	smooth     = 0.7  // weight of a new note against an older one of about the same time
 	smoothLoad = 0.25 // weight of a load report likewise; it is noisier
 	blendS     = 3    // s after which an older report counts no more beside a new one
@@ -776,13 +774,8 @@
 	if c.set.Feed != FeedProbe || !c.set.Probes {
 		return
 	}
-	rate := 0.0
-	for _, times := range c.arrivals {
-		rate += float64(len(since(times, c.now-rescoreS))) / rescoreS
-	}
-	every := min(max(float64(len(c.order))/(probePart*rate), leastProbe), probeS)
 	for _, sv := range c.order {
-		if sv.State == Ready && c.now >= sv.probedAt+every && len(sv.sessions) > 0 {
+		if sv.State == Ready && c.now >= sv.probedAt+probeS*c.unit && len(sv.sessions) > 0 {
 			c.probe(sv)
 		}
 	}
