Keep sessions through a planned restart until SIGKILL may come, refuse late ones

Now: config derives the drain from the classes' deadlines: requests are served for 0.7 s and refused at once after it, since an attempt might outlast the program; what stands is kept until 0.6 s after the longest deadline (3 s at most), 0.1 s before SIGKILL. Settings without deadlines keep 3.6 s.

Tests: broker.TestDrain, config.TestExampleConfiguration.

--- a/cmd/millethinge/exchange_test.go
+++ b/cmd/millethinge/exchange_test.go
@@ -18,6 +18,7 @@
 
 	"go.uber.org/zap"
 
+	"millethinge/internal/broker"
 	"millethinge/internal/config"
 	"millethinge/internal/rtsp"
 )
@@ -57,6 +58,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	cfg.Drain = broker.Drain{Take: patience, Stay: 900 * time.Millisecond} // whatever the machine's pace
 	p := &program{signals: make(chan os.Signal, 1), reload: make(chan string, 1), done: make(chan error, 1)}
 	if p.at, err = listen(cfg); err != nil {
 		t.Fatal(err)
--- a/cmd/millethinge/main.go
+++ b/cmd/millethinge/main.go
@@ -84,7 +84,7 @@
 		Report: func(r broker.Report) { core.Report(r) }, Log: log,
 	})
 	core, err := broker.New(broker.Config{
-		Settings: cfg.Settings, Seed: cfg.Seed, MemoryMB: cfg.MemoryMB, Teams: cfg.Operator.Teams, Nodes: pool, Log: log,
+		Settings: cfg.Settings, Seed: cfg.Seed, MemoryMB: cfg.MemoryMB, Drain: cfg.Drain, Teams: cfg.Operator.Teams, Nodes: pool, Log: log,
 	})
 	if err != nil {
 		return err
@@ -134,7 +134,7 @@
 					continue
 				}
 				log.Info("draining", zap.Stringer("signal", s))
-				core.Drain()
+				core.Finish()
 				draining = true
 			case <-ctx.Done():
 				return nil
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -26,8 +26,6 @@
 	answerMargin = 100 * time.Millisecond
 	// lastMargin is when the broker answers itself what the module has not.
 	lastMargin = 50 * time.Millisecond
-	// drainTime is how long requests go on coming after SIGTERM.
-	drainTime = 900 * time.Millisecond
 	// tombstones bounds the final replies kept for players that reconnect.
 	tombstones = 1 << 16
 	// tombstoneTime is how long such a reply is kept.
@@ -39,11 +37,18 @@
 	Settings control.Settings
 	Seed     uint64
 	MemoryMB int
+	Drain    Drain
 	Teams    []Team
 	Nodes    Nodes
 	Log      *zap.Logger
 }
 
+// Drain is how a Broker ends.
+type Drain struct {
+	Take time.Duration // new requests are served for so long
+	Stay time.Duration // what stands is kept for so long
+}
+
 // Broker is the actor round the decision module.
 type Broker struct {
 	set      control.Settings
@@ -58,7 +63,8 @@
 	timers   timers
 	ledgers  []ledger
 	drained  chan struct{}
-	stopping time.Time // when the drain ends; zero: not asked for
+	drain    Drain
+	stopping time.Time // when the drain was asked for; zero: it was not
 }
 
 // New returns a Broker. Run starts it.
@@ -79,6 +85,7 @@
 		open:     make(map[control.SessionID]bool),
 		ledgers:  newLedgers(cfg.Teams, len(cfg.Settings.Quotas)),
 		drained:  make(chan struct{}),
+		drain:    cfg.Drain,
 	}, nil
 }
 
@@ -98,17 +105,17 @@
 // List takes a change to the list of media nodes.
 func (b *Broker) List(l List) { b.inbox.Force(l) }
 
-// Drain asks the broker to finish: it serves on for a while, answers all that
-// it took, and then closes Drained.
-func (b *Broker) Drain() { b.inbox.Force(drain{}) }
+// Finish asks the broker to end: it serves on for a while, answers all that it
+// took, keeps what stands for as long as it may, and then closes Drained.
+func (b *Broker) Finish() { b.inbox.Force(finish{}) }
 
 // Drained is closed once all that was taken before and during a drain is
 // answered.
 func (b *Broker) Drained() <-chan struct{} { return b.drained }
 
 type (
-	lost  struct{ client Client }
-	drain struct{}
+	lost   struct{ client Client }
+	finish struct{}
 )
 
 // Run is the actor's loop.
@@ -149,32 +156,29 @@
 		b.report(m)
 	case List:
 		b.tell(control.Event{Kind: control.EvList, List: control.ListDelta, Entries: m.Entries})
-	case drain:
+	case finish:
 		if b.stopping.IsZero() {
-			b.stopping = b.clock.now().Add(drainTime)
-			b.timers.add(b.stopping, timerDrain, 0, 0)
+			b.stopping = b.clock.now()
+			b.timers.add(b.stopping.Add(b.drain.Stay), timerDrain, 0, 0)
 		}
 	}
 }
 
 func (b *Broker) checkDrained() {
-	if b.stopping.IsZero() || b.clock.now().Before(b.stopping) || len(b.open) > 0 {
+	if b.stopping.IsZero() || b.clock.now().Before(b.stopping.Add(b.drain.Stay)) || len(b.open) > 0 {
 		return
 	}
-	if !b.finished() {
+	select {
+	case <-b.drained:
+	default:
 		b.closeStanding()
 		close(b.drained)
 	}
 }
 
-// finished tells whether the program is about to end.
-func (b *Broker) finished() bool {
-	select {
-	case <-b.drained:
-		return true
-	default:
-		return false
-	}
+// closing tells whether it is too late for a new request.
+func (b *Broker) closing() bool {
+	return !b.stopping.IsZero() && !b.clock.now().Before(b.stopping.Add(b.drain.Take))
 }
 
 // closeStanding ends what stands on both sides before the program exits.
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -293,17 +293,27 @@
 	}
 }
 
-// What comes after the drain is answered too.
-func TestRequestAtTheEnd(t *testing.T) {
+// In a drain what was taken is answered, what comes late is refused, and what
+// stands is kept to the end.
+func TestDrain(t *testing.T) {
 	b, f := bed(t)
-	b.handle(drain{})
+	b.drain = Drain{Take: time.Hour, Stay: 2 * time.Hour}
+	b.handle(finish{})
 	b.ask(f, 1, clip, -1, 0)
-	b.stopping = b.clock.now()
-	b.checkDrained()
+	b.ask(f, 2, clip, -1, 0)
 	b.tells(1, Started, 0)
+	b.stopping = b.stopping.Add(-time.Hour)
+	b.ask(f, 3, clip, -1, 0)
 	b.checkDrained()
-	b.ask(f, 2, clip, -1, 0)
-	if got := f.take(); got != "setup 1, served 1, over 1, teardown 1, refused 2" {
+	if got := f.take(); got != "setup 1, setup 2, served 1, refused 3" {
+		t.Error(got)
+	}
+	b.stopping = b.stopping.Add(-time.Hour)
+	b.checkDrained() // one is open still
+	b.tells(2, Ended, control.Errored)
+	b.checkDrained()
+	b.ask(f, 4, clip, -1, 0)
+	if got := f.take(); got != "failed 2, over 1, teardown 1, refused 4" {
 		t.Error(got)
 	}
 }
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -41,9 +41,9 @@
 		r.Client.Deliver(last)
 		return
 	}
-	if b.finished() {
-		// Guard: a request that comes as the program ends is answered too. It was
-		// not tried, and the next manager may take it.
+	if b.closing() {
+		// Guard: a request that comes late in a drain is answered too, at once: the
+		// program may be killed before an attempt ends. Another manager may take it.
 		r.Client.Deliver(Reply{Kind: Refused, ID: r.ID, Cause: CauseRefused, Wait: lastWait})
 		return
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"millethinge/control"
+	"millethinge/internal/broker"
 	"millethinge/internal/directory"
 )
 
@@ -25,13 +26,18 @@
 
 // Defaults of what the platform may leave out.
 const (
-	defaultMemoryMB    = 192
-	defaultSockets     = 1024
-	defaultConnIdle    = 15 * time.Second
-	defaultConnect     = 250 * time.Millisecond
-	defaultPerConn     = 32
-	defaultGiveUp      = 10 * time.Second
-	leftTimes          = 4 // a viewer waits so many times its class's deadline at most
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	defaultConnIdle = 15 * time.Second
+	defaultConnect  = 250 * time.Millisecond
+	defaultPerConn  = 32
+	defaultGiveUp   = 10 * time.Second
+	leftTimes       = 4 // a viewer waits so many times its class's deadline at most
+	// At a planned restart requests come for 0.6 s after SIGTERM. SIGKILL follows
+	// no sooner than the longest deadline, at most 3 s, and 0.7 s more.
+	drainTake          = 700 * time.Millisecond
+	drainStay          = 600 * time.Millisecond // beyond the longest deadline
+	drainMostGiveUp    = 3 * time.Second
 	leastSockets       = 32
 	operatorFile       = "deploy/operator.json" // read if it is there
 	platformFile       = "the platform's configuration"
@@ -55,6 +61,7 @@
 	Classes     []string      // names by class
 	Tenants     []string      // of the platform, by number
 	MostLeft    time.Duration // the longest that a viewer may say it waits
+	Drain       broker.Drain
 
 	ConnIdle       time.Duration
 	ConnectTimeout time.Duration
@@ -178,8 +185,11 @@
 			return fault(fmt.Sprintf("settings.lanes[%d].name", i), fmt.Errorf("missing"))
 		}
 		c.Classes = append(c.Classes, l.Name)
-		c.MostLeft = max(c.MostLeft, leftTimes*orDefault(l.GiveUp, defaultGiveUp))
+		giveUp := orDefault(l.GiveUp, defaultGiveUp)
+		c.MostLeft = max(c.MostLeft, leftTimes*giveUp)
+		c.Drain.Stay = max(c.Drain.Stay, min(giveUp, drainMostGiveUp)+drainStay)
 	}
+	c.Drain.Take = min(drainTake, c.Drain.Stay)
 	for _, t := range p.Projects {
 		c.Tenants = append(c.Tenants, t.Name)
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"millethinge/internal/broker"
 )
 
 func example(t *testing.T) string {
@@ -23,6 +25,10 @@
 		c.ConnectTimeout != 250*time.Millisecond || strings.Join(c.Classes, " ") != "clip feed" {
 		t.Errorf("%+v, %v", c, err)
 	}
+	// The drain ends before SIGKILL can come, 0.7 s after the longest deadline.
+	if want := (broker.Drain{Take: 700 * time.Millisecond, Stay: 3600 * time.Millisecond}); c.Drain != want || c.MostLeft != 12*time.Second {
+		t.Errorf("drain %v, most left %v", c.Drain, c.MostLeft)
+	}
 	if v, n := c.ViewerConns(), c.NodeConns(); v < c.Sockets/3 || n < 400 || v+n > c.Sockets-descriptorsForSelf {
 		t.Errorf("%d viewers' and %d nodes' connections", v, n)
 	}
