Give spare connections back, and hold no want of descriptors against a node

Read beside PROTOCOL: media.connect reported the program's own limit as a failed connection, which rests and chills the node (control.judge), and each of up to 12 connections opened beside silent ones was held for 15 s, with 99 allowed to all nodes at 256 descriptors. Now such set-ups are moot, such a probe rests nothing, and beyond two a connection that nothing needs is retired after 2 s. A connection that brought standing sessions counts as its viewers' own.

Tests: media.TestDescriptorsAreShort.

--- a/control/control.go
+++ b/control/control.go
@@ -707,7 +707,7 @@
 	if sv := c.servers[e.Server]; sv != nil && e.Status == OK {
 		c.heard(sv)
 		c.onLoad(sv, e.Load)
-	} else if sv != nil && c.quiet(sv, 0) > patienceS*c.unit {
+	} else if sv != nil && e.Status != Moot && c.quiet(sv, 0) > patienceS*c.unit {
 		sv.restTil = c.now + restS*c.unit
 	}
 	c.placeWaiting(true)
--- a/internal/front/jsonl/jsonl.go
+++ b/internal/front/jsonl/jsonl.go
@@ -199,6 +199,7 @@
 func (c *conn) stands(m *message.Message, r broker.Request, at control.Server, err error) bool {
 	r.Playing = at
 	if err == nil && c.front.Core.Submit(r) {
+		c.know()
 		return true
 	}
 	c.front.Log.Info("standing session not taken", zap.Error(err))
--- a/internal/media/media_test.go
+++ b/internal/media/media_test.go
@@ -295,6 +295,33 @@
 	}
 }
 
+// Want of descriptors is the program's own: set-ups never left, and the node is
+// not lost for it. Connections that nothing needs are given back.
+func TestDescriptorsAreShort(t *testing.T) {
+	n, _, _, reports := bed(t)
+	n.pool.cfg.MaxConns = 0
+	n.handle(stands{1})
+	n.heardAt = time.Now().Add(-lostTime)
+	n.handle(try(2))
+	for _, m := range n.box.Take(nil) {
+		n.handle(m)
+	}
+	status(t, reports, control.Moot)
+	for i := range 5 {
+		near, far := net.Pipe()
+		defer near.Close()
+		defer far.Close()
+		n.conns = append(n.conns, &conn{Conn: near, touched: time.Now().Add(-2 * spareTime), open: i % 2})
+	}
+	n.dialling = true
+	n.look(time.Now())
+	for i, dead := range []bool{true, false, true, false, true} {
+		if n.conns[i].dead != dead {
+			t.Errorf("connection %d: given back %v", i, n.conns[i].dead)
+		}
+	}
+}
+
 // A new node at the address of another is another node: the old one gets no more.
 func TestAddressIsTakenOver(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -40,10 +40,16 @@
 	keepLost    = time.Minute            // how long its sessions' releases wait
 	keepRelease = 10 * time.Second       // how long a release waits for a connection
 	mostConns   = 12                     // to one node; more than open between two closes as idle
+	keptConns   = 2                      // that are kept though nothing is open on them
+	spareTime   = 2 * time.Second        // after which others are retired
 	suspectTime = 200 * time.Millisecond // without a word since a set-up, after which others take another connection
 	keepGiven   = 10 * time.Second       // how long a set-up that was given up is known, for a late answer
 )
 
+// errNoRoom reports that no connection may be opened: the program holds as many
+// as it may.
+var errNoRoom = errors.New("media: no descriptors left")
+
 // node is the actor of one media node.
 type node struct {
 	pool   *Pool
@@ -228,7 +234,7 @@
 	n.dialling = true
 	if n.pool.conns.Add(1) > int64(n.pool.cfg.MaxConns) {
 		n.pool.conns.Add(-1)
-		n.box.Force(dialled{err: errors.New("media: no descriptors left")})
+		n.box.Force(dialled{err: errNoRoom})
 		return
 	}
 	addr, timeout := n.addr, n.pool.cfg.ConnectTimeout
@@ -302,17 +308,26 @@
 	}
 }
 
-// dialFailed ends what waited for the connection: nothing of it ran.
+// dialFailed ends what waited for the connection: nothing of it ran. Guard: the
+// program's own want of descriptors is not held against the node.
 func (n *node) dialFailed(err error) {
+	own := errors.Is(err, errNoRoom)
+	status := control.ConnectFailed
+	if own {
+		status = control.Moot
+	}
 	for _, a := range n.attempts {
 		if a.conn == nil {
-			n.end(a, control.ConnectFailed)
+			n.end(a, status)
 		}
 	}
 	for ; n.asked > 0; n.asked-- {
-		n.report(broker.Report{Kind: broker.Probed, Status: control.ConnectFailed})
+		n.report(broker.Report{Kind: broker.Probed, Status: status})
+	}
+	n.judge(own)
+	if own {
+		return
 	}
-	n.judge(false)
 	why := fmt.Sprint("no connection: ", err)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED) && len(n.conns) == 0: // no process is there
@@ -423,9 +438,19 @@
 			delete(n.given, id)
 		}
 	}
+	spare := -keptConns
 	for _, c := range n.conns {
-		if !c.closeAt.IsZero() && now.After(c.closeAt) {
+		if !c.dead {
+			spare++
+		}
+	}
+	for _, c := range n.conns { // the oldest first
+		switch {
+		case !c.closeAt.IsZero() && now.After(c.closeAt):
 			n.close(c)
+		case spare > 0 && !c.dead && c.open == 0 && now.Sub(c.touched) > spareTime:
+			spare--
+			c.retire(n.pool.cfg.ConnIdle)
 		}
 	}
 	// A machine that is cut off keeps its connections open and silent: only a
