Count the module's times in units of the classes' goals

Ruled out: nodes left out (26 connections reset, none timed out) and slow managers (CPU 0.03 in a second).

Now Handle counts all times in units of the longest goal over 1.5 s (1 at most), in the settings, events and actions alike.

Test: control.TestPaceFollowsTheGoals.

--- a/control/control.go
+++ b/control/control.go
@@ -20,7 +20,7 @@
 	rescoreS  = 10  // s between re-scorings of the reserves
 	ratesS    = 30  // s of arrivals that a re-scoring measures
 	priorHold = 60  // s, a session's length until ends are seen; long errs to caution in raising rungs
-	usualGoal = 1.5 // s, the goal that the times of health below suit; they shrink with a shorter one
+	usualGoal = 1.5 // s, the goal that all times here suit; where it is shorter, they shrink with it
 	mostSlots = 256 // slots that a re-scoring searches; it takes their square in time
 	staleS    = 12  // s after which what a report said of others' load is dropped
 
@@ -74,8 +74,13 @@
 	if err := validate(&set); err != nil {
 		return nil, err
 	}
+	unit := 0.0
+	for _, k := range set.Classes {
+		unit = min(max(unit, k.GoalS/usualGoal), 1)
+	}
+	set = inUnits(set, unit)
 	c := &Controller{
-		set: set, seed: seed,
+		set: set, unit: unit, seed: seed,
 		servers: make(map[Server]*server), sessions: make(map[SessionID]*session),
 		seats: make(map[seatKey]int), cells: make([][]*server, set.Cells),
 		shares: make([]bucket, len(set.Quotas)), arrivals: make([][]float64, len(set.Classes)),
@@ -84,9 +89,6 @@
 		middle:  set.RatesKB[len(set.RatesKB)/2],
 		titles:  make(map[uint64]float64),
 	}
-	for _, k := range set.Classes {
-		c.unit = min(max(c.unit, k.GoalS/usualGoal), 1)
-	}
 	for range max(set.Racks, 1) {
 		c.racks = append(c.racks, &rack{pipe: newPipe()})
 	}
@@ -96,9 +98,10 @@
 // Handle takes one event and returns what to do, in order. The slice is valid
 // until the next call.
 func (c *Controller) Handle(now float64, e Event) []Action {
-	c.now, c.out = now, c.out[:0]
+	c.now, c.out = now/c.unit, c.out[:0]
+	e.LeftS, e.HintS = e.LeftS/c.unit, e.HintS/c.unit
 	if !c.begun {
-		c.begun, c.started, c.rescoreAt = true, now, now+rescoreS/5
+		c.begun, c.started, c.rescoreAt = true, c.now, c.now+rescoreS/5
 		c.wake(tickS, tokenTick)
 		if c.set.Subscribe {
 			c.emit(Action{Kind: ActWatch})
@@ -127,6 +130,10 @@
 	case e.Kind == EvNote:
 		c.onNote(s, e)
 	}
+	for i := range c.out {
+		a := &c.out[i]
+		a.PatienceS, a.DelayS, a.WaitS = a.PatienceS*c.unit, a.DelayS*c.unit, a.WaitS*c.unit
+	}
 	return c.out
 }
 
@@ -157,6 +164,7 @@
 }
 
 func (c *Controller) listEntry(n Entry) {
+	n.SinceS /= c.unit
 	if n.Cell < 0 || n.Cell >= c.set.Cells {
 		return
 	}
@@ -495,7 +503,7 @@
 		}
 	}
 	for _, o := range sv.sessions { // a silent server takes work and answers nothing
-		if !o.playing && c.quiet(sv, o.sentAt) > silentS*c.unit {
+		if !o.playing && c.quiet(sv, o.sentAt) > silentS {
 			return false
 		}
 	}
@@ -587,7 +595,7 @@
 	c.emit(Action{Kind: ActRung, Session: s.id, Rung: rung})
 	patience := 0.0 // an early time-out of a set-up that must not run twice forfeits it
 	if left := s.goal - c.now; k.Effect != AtMostOnce && left > 0 {
-		patience = max(left/2, patienceS*c.unit)
+		patience = max(left/2, patienceS)
 	}
 	c.emit(Action{Kind: ActHandOff, Session: s.id, Server: sv.Server, PatienceS: patience})
 	c.attach(s, sv)
@@ -654,7 +662,7 @@
 		}
 		c.chill(sv, c.now)
 	case TimedOut:
-		if c.quiet(sv, 0) < patienceS*c.unit {
+		if c.quiet(sv, 0) < patienceS {
 			return
 		}
 	case Errored:
@@ -670,7 +678,7 @@
 			sv.observe(c.now, max(c.set.Guard*c.link(sv), sv.own+c.othersOn(sv)), smooth)
 		}
 	}
-	sv.restTil = c.now + restS*c.unit
+	sv.restTil = c.now + restS
 }
 
 // Notes and reports.
@@ -707,8 +715,8 @@
 	if sv := c.servers[e.Server]; sv != nil && e.Status == OK {
 		c.heard(sv)
 		c.onLoad(sv, e.Load)
-	} else if sv != nil && e.Status != Moot && c.quiet(sv, 0) > patienceS*c.unit {
-		sv.restTil = c.now + restS*c.unit
+	} else if sv != nil && e.Status != Moot && c.quiet(sv, 0) > patienceS {
+		sv.restTil = c.now + restS
 	}
 	c.placeWaiting(true)
 }
@@ -775,7 +783,7 @@
 		return
 	}
 	for _, sv := range c.order {
-		if sv.State == Ready && c.now >= sv.probedAt+probeS*c.unit && len(sv.sessions) > 0 {
+		if sv.State == Ready && c.now >= sv.probedAt+probeS && len(sv.sessions) > 0 {
 			c.probe(sv)
 		}
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -462,6 +462,55 @@
 	}
 }
 
+// Where the classes' goals are shorter, the same happens sooner: at half the goals
+// and half all other times the module does the same in half the time.
+func TestPaceFollowsTheGoals(t *testing.T) {
+	play := func(unit float64) (all []Action) {
+		set := settings()
+		for i := range set.Classes {
+			set.Classes[i].GoalS *= unit
+		}
+		set.SeeS, set.SwitchS, set.WarmAfterS = set.SeeS*unit, set.SwitchS*unit, set.WarmAfterS*unit
+		c, err := New(set, 7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b := &bed{t: t, c: c}
+		var wakes []Action
+		for step := range 400 {
+			b.now = (1000 + 0.25*float64(step)) * unit
+			id := SessionID(step + 1)
+			var out []Action
+			switch {
+			case step == 0:
+				b.list(ListCached, Ready, Ready, Ready, Ready)
+			case step%3 == 0:
+				out = b.do(Event{Kind: EvArrive, Session: id, Class: step % 2, Title: uint64(step % 7), LeftS: 5 * unit, Span: 4, MaxRung: 4})
+			case len(wakes) > 0:
+				out = b.do(Event{Kind: EvTimer, Token: wakes[0].Token})
+				wakes = wakes[1:]
+			}
+			for _, a := range out {
+				switch a.Kind {
+				case ActWake:
+					wakes = append(wakes, a)
+				case ActProbe:
+					b.do(Event{Kind: EvProbed, Server: a.Server, Load: []float64{0.5, 0.5}})
+				case ActHandOff:
+					b.do(Event{Kind: EvFirst, Session: a.Session, Server: a.Server})
+				}
+				a.PatienceS, a.DelayS, a.WaitS = a.PatienceS/unit, a.DelayS/unit, a.WaitS/unit
+				all = append(all, a)
+			}
+		}
+		return all
+	}
+	usual, quick := play(1), play(0.5)
+	if len(usual) < 100 || !reflect.DeepEqual(usual, quick) {
+		t.Errorf("%d actions at the usual pace, %d at twice that, or other ones", len(usual), len(quick))
+	}
+}
+
 // Events that name nothing known, and odd values, are ignored without a fault.
 func TestOddEvents(t *testing.T) {
 	b := newBed(t, settings())
--- a/control/state.go
+++ b/control/state.go
@@ -1,6 +1,9 @@
 package control
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // A mark is a front's own load on a pipe from a time on.
 type mark struct{ at, kb float64 }
@@ -99,7 +102,7 @@
 	waiting  []*session
 	seats    map[seatKey]int
 	titles   map[uint64]float64 // when each last started to play
-	unit     float64            // the classes' longest goal over the usual one, 1 at most
+	unit     float64            // s; all times of the module are counted in it
 	middle   float64            // kB a second of a slot
 
 	own       float64     // kB a second that this front's sessions ask for
@@ -119,6 +122,23 @@
 	rackUse   mean // of uplinks
 }
 
+// inUnits counts the times of the settings in units. Where sessions and deadlines
+// are shorter all else is quicker too, and the module's times are chosen for one
+// pace. Rates grow likewise.
+func inUnits(s Settings, unit float64) Settings {
+	s.Classes, s.Quotas = slices.Clone(s.Classes), slices.Clone(s.Quotas)
+	for i := range s.Classes {
+		s.Classes[i].GoalS /= unit
+	}
+	for i := range s.Quotas {
+		s.Quotas[i] *= unit
+	}
+	for _, t := range []*float64{&s.SeeS, &s.SwitchS, &s.WarmAfterS, &s.BudgetWindowS} {
+		*t /= unit
+	}
+	return s
+}
+
 func newPipe() pipe { return pipe{seenAt: math.Inf(-1)} }
 
 func (p *pipe) note(now, own float64) {
