--- a/internal/front/message/message_test.go
+++ b/internal/front/message/message_test.go
@@ -85,6 +85,10 @@
 		if Parse(in, &m) != nil {
 			return
 		}
+		if r, err := catalog.Setup(&m, time.Time{}); err == nil && (r.Home < 0 || r.Home >= catalog.Cells ||
+			r.Span < 1 || !(r.MaxRung >= 0 && r.MaxRung <= 3) || r.Left <= 0) {
+			t.Errorf("%q: taken as %+v", keep, r)
+		}
 		var want map[string]any
 		if json.Unmarshal(keep, &want) != nil || !utf8.Valid(keep) {
 			return // laxer than JSON in numbers and bytes, which harms nobody
--- a/internal/media/media_test.go
+++ b/internal/media/media_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"reflect"
 	"slices"
@@ -423,3 +424,21 @@
 	cancel()
 	n.pool.group.Wait()
 }
+
+// Whatever a node sends, figures that can't be reckoned with go no further.
+func FuzzUnderstand(f *testing.F) {
+	f.Add([]byte("ANNOUNCE rtsp://media/a RTSP/1.0\r\nSession: 0a\r\nFail-Word: link\r\nX-Reading: NaN\r\nContent-Length: 0\r\n\r\n"))
+	f.Add([]byte("RTSP/1.0 200 OK\r\nCSeq: 3\r\nSession: 0a\r\nLink-State: x1:Inf;load_share:-1\r\nContent-Length: 0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		var raw rtsp.Message
+		if n, err := rtsp.Parse(in, &raw); n == 0 || err != nil {
+			return
+		}
+		m, ok := understand(&raw, []string{"load_share", "x1"})
+		for _, v := range append(m.load, m.value) {
+			if ok && m.kind != other && !(v >= 0 && v <= math.MaxFloat64) {
+				t.Errorf("%q: %+v", in, m)
+			}
+		}
+	})
+}
