--- a/control/control.go
+++ b/control/control.go
@@ -32,6 +32,8 @@
 	raiseGain  = 3    // a raise must be expected to earn so many times its switch cost
 	dwellS     = 6    // s between raises of one session; keeps an on-and-off neighbour from swinging it
 	unseen     = 1    // added to the use of a holder whose load isn't known
+	roomLife   = 2    // s since a server's last sign of life, up to which room is made there
+	roomGain   = 1.5  // a newcomer must be worth so many times what lowering others for it costs
 	roomPart   = 0.5  // of the room that a newcomer leaves if all other arrivals are of other fronts
 	probeS     = 30   // s between probes of a server that tells its load in no other way; each is priced
 	smooth     = 0.7  // weight of a new note against an older one of about the same time
@@ -423,9 +425,51 @@
 		c.keep(s, later)
 		return
 	}
+	for _, h := range list {
+		if c.makeRoom(s, h.sv) {
+			c.send(s, h.sv, k.Floor)
+			return
+		}
+	}
 	c.answer(s, ActDeny)
 }
 
+// makeRoom lowers sessions in play on a full holder, where that costs less than a
+// viewer who would be refused is worth: the upper steps earn little for their
+// rate. It harms where the newcomer leaves soon, since each change is paid.
+func (c *Controller) makeRoom(s *session, sv *server) bool {
+	if c.quiet(sv, 0) > roomLife || float64(len(sv.sessions)+1)+c.othersOn(sv)/c.meanSize() > c.streams(sv) {
+		return false
+	}
+	floor := c.set.Classes[s.class].Floor
+	need := c.size(s, floor) - c.free(sv, s.class)
+	gain := s.worth * c.set.LadderWorth[floor] * c.hold()
+	var down []*session
+	for need > 0 {
+		var best *session
+		cost, freed := 0.0, 0.0
+		for _, o := range sv.sessions {
+			if !o.playing || o.rung <= c.set.Classes[o.class].Floor || slices.Contains(down, o) {
+				continue
+			}
+			kb := c.size(o, o.rung) - c.size(o, o.rung-1)
+			loss := o.worth * (c.set.LadderWorth[o.rung] - c.set.LadderWorth[o.rung-1]) * c.leftOf(o)
+			if loss += o.worth * c.set.SwitchS; best == nil || loss/kb < cost/freed {
+				best, cost, freed = o, loss, kb
+			}
+		}
+		if gain -= roomGain * cost; best == nil || gain <= 0 {
+			return false
+		}
+		down = append(down, best)
+		need -= freed
+	}
+	for _, o := range down {
+		c.setRung(o, o.rung-1)
+	}
+	return true
+}
+
 // keep makes a session wait until a time, or until a probe is answered.
 func (c *Controller) keep(s *session, til float64) {
 	s.keptTil = max(til, c.now+marginS)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -462,6 +462,38 @@
 	}
 }
 
+// A viewer who would be refused gets room from sessions on rungs that earn little
+// for their rate; not at a server that has been silent, and never under a floor.
+func TestRoomIsMade(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		set := settings()
+		set.LadderWorth = []float64{0.6, 0.8, 0.9, 0.95, 1}
+		b := newBed(t, set)
+		lowered, refused := 0, 0
+		for id := SessionID(1); id < 400 && refused == 0; id++ {
+			if silent {
+				b.now += roomLife + 0.1
+			}
+			acts := b.answered(b.arrive(id, 1), 0.1)
+			refused += count(acts, ActDeny)
+			for _, a := range acts {
+				if a.Kind == ActRung && a.Session != id {
+					lowered++
+					if s := b.c.sessions[a.Session]; a.Rung < b.c.set.Classes[s.class].Floor {
+						t.Fatalf("session %d is on rung %d", a.Session, a.Rung)
+					}
+				}
+			}
+			if sent := find(acts, ActHandOff); sent != nil {
+				b.do(Event{Kind: EvFirst, Session: id, Server: sent.Server})
+			}
+		}
+		if refused == 0 || (lowered == 0) != silent {
+			t.Errorf("silent %v: %d lowered, %d refused", silent, lowered, refused)
+		}
+	}
+}
+
 // Where the classes' goals are shorter, the same happens sooner: at half the goals
 // and half all other times the module does the same in half the time.
 func TestPaceFollowsTheGoals(t *testing.T) {
