--- a/internal/front/jsonl/jsonl.go
+++ b/internal/front/jsonl/jsonl.go
@@ -74,8 +74,8 @@
 }
 
 // carries tells whether the end of a session whose set-up came from a host may
-// be sent on c. Guard: not on just any connection, since one that was never
-// more than opened may be nobody's who cares.
+// be sent on c. Guard: an unknown host's connection may be anybody's, and its
+// client would take no notice.
 func (c *conn) carries(host string) bool { return c.Host == host || c.Known() }
 
 func (f *Front) remove(c *conn) {
--- a/internal/front/jsonl/jsonl_test.go
+++ b/internal/front/jsonl/jsonl_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -74,6 +75,27 @@
 	hear(t, in, `{"type":"release","id":"0000000000000001","fields":{},"cause":41}`)
 }
 
+// An end is told to its viewer's host, not to whoever else is connected.
+func TestEndGoesToItsViewer(t *testing.T) {
+	c, dial := serve(t)
+	v, _ := dial()
+	other := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 2)}}
+	o, err := other.Dial("tcp", v.RemoteAddr().String())
+	if err != nil {
+		t.Skip("no second loopback address: ", err)
+	}
+	defer o.Close()
+	in := bufio.NewReader(o)
+	io.WriteString(o, `{"type":"ping","id":"01"}`+"\n")
+	hear(t, in, `{"type":"pong","id":"01","fields":{},"cause":1}`) // it is accepted
+	v.Close()
+	(<-c.lost).Deliver(broker.Reply{Kind: broker.Over, ID: 1, Cause: 41})
+	_, again := dial()
+	hear(t, again, `{"type":"release","id":"0000000000000001","fields":{},"cause":41}`)
+	io.WriteString(o, `{"type":"ping","id":"02"}`+"\n")
+	hear(t, in, `{"type":"pong","id":"02","fields":{},"cause":1}`)
+}
+
 // A message over 16 KiB costs its connection.
 func TestLongMessage(t *testing.T) {
 	_, dial := serve(t)
