--- a/control/api.go
+++ b/control/api.go
@@ -75,6 +75,8 @@
 
 	AttemptsCap   int
 	CrossZoneCost float64
+	ProbeCost     float64 // of a probe for each session, in parts of a session's worth
+	HandshakeCost float64 // likewise, of a connection
 
 	FallMultiple  float64
 	StartCapacity float64
--- a/control/control.go
+++ b/control/control.go
@@ -25,25 +25,27 @@
 	staleS    = 12  // s after which what a report said of others' load is dropped
 
 	// Rungs in play.
-	tickS      = 0.5  // s between looks at the links; shorter answers a shortage sooner, for more CPU
-	shortUse   = 1.08 // use above which rungs are lowered; what lies under 0.98 of a rate costs dearly
-	lowerTo    = 0.95 // use that lowering aims at
-	slackUse   = 0.7  // use under which rungs are raised; far from shortUse, so that it doesn't swing
-	raiseGain  = 3    // a raise must be expected to earn so many times its switch cost
-	dwellS     = 6    // s between raises of one session; keeps an on-and-off neighbour from swinging it
-	unseen     = 1    // added to the use of a holder whose load isn't known
-	roomLife   = 2    // s since a server's last sign of life, up to which room is made there
-	roomGain   = 1.5  // a newcomer must be worth so many times what lowering others for it costs
-	roomPart   = 0.5  // of the room that a newcomer leaves if all other arrivals are of other fronts
-	probeS     = 30   // s between probes of a server that tells its load in no other way; each is priced
-	smooth     = 0.7  // weight of a new note against an older one of about the same time
-	smoothLoad = 0.25 // weight of a load report likewise; it is noisier
-	blendS     = 3    // s after which an older report counts no more beside a new one
-	capped     = 0.99 // load_share from which a link may be asked for more than it says
-	fullShare  = 0.98 // delivered share under which sessions lose
-	leastShare = 0.05 // delivered share, at the least; bounds what one note can say
-	reportLagS = 0.3  // s, how old a load report is taken to be
-	reactS     = 1    // s, beyond the notes' lateness, until a report can show what others did
+	tickS       = 0.5  // s between looks at the links; shorter answers a shortage sooner, for more CPU
+	shortUse    = 1.08 // use above which rungs are lowered; what lies under 0.98 of a rate costs dearly
+	lowerTo     = 0.95 // use that lowering aims at
+	slackUse    = 0.7  // use under which rungs are raised; far from shortUse, so that it doesn't swing
+	raiseGain   = 3    // a raise must be expected to earn so many times its switch cost
+	dwellS      = 6    // s between raises of one session; keeps an on-and-off neighbour from swinging it
+	firstProbes = 3    // single ones that a front makes at its start
+	unseen      = 1    // added to the use of a holder whose load isn't known, where it can be asked for
+	roomLife    = 2    // s since a server's last sign of life, up to which room is made there
+	roomGain    = 1.5  // a newcomer must be worth so many times what lowering others for it costs
+	roomPart    = 0.5  // of the room that a newcomer leaves if all other arrivals are of other fronts
+	probePart   = 0.02 // part of the sessions' worth that dear probes of single servers may cost
+	probeS      = 30   // s between probes of a server that tells its load in no other way; each is priced
+	smooth      = 0.7  // weight of a new note against an older one of about the same time
+	smoothLoad  = 0.25 // weight of a load report likewise; it is noisier
+	blendS      = 3    // s after which an older report counts no more beside a new one
+	capped      = 0.99 // load_share from which a link may be asked for more than it says
+	fullShare   = 0.98 // delivered share under which sessions lose
+	leastShare  = 0.05 // delivered share, at the least; bounds what one note can say
+	reportLagS  = 0.3  // s, how old a load report is taken to be
+	reactS      = 1    // s, beyond the notes' lateness, until a report can show what others did
 
 	// Health.
 	strangeN   = 6     // errors on titles that never played, with no start between, that rest a server
@@ -52,7 +54,8 @@
 	silentS    = 1     // s a set-up may be unanswered before its server is left alone
 	patienceS  = 0.4   // s, the shortest time-out of a set-up that may be sent again
 	paceShare  = 0.7   // part of a front's pace to a cold server that is used; the rest is for chance
-	askN       = 2     // holders probed for a session whose holders' load isn't known; each is priced
+	askN       = 2     // holders probed at most for a session whose holders' load isn't known
+	askPrice   = 0.04  // most that these probes may cost, in parts of the session's worth
 	askS       = 0.15  // s that a session waits for these probes
 	freshS     = 2     // s for which a report spares a probe at an arrival
 	lotS       = 8     // s in which a front is taken to have one viewer for a cold server
@@ -90,6 +93,8 @@
 		mix:     make([]float64, len(set.Classes)),
 		middle:  set.RatesKB[len(set.RatesKB)/2],
 		titles:  make(map[uint64]float64),
+		credit:  firstProbes,
+		dear:    askN*(set.ProbeCost+set.HandshakeCost) > askPrice,
 	}
 	for range max(set.Racks, 1) {
 		c.racks = append(c.racks, &rack{pipe: newPipe()})
@@ -139,9 +144,6 @@
 	return c.out
 }
 
-// heard notes a sign of life of a server.
-func (c *Controller) heard(sv *server) { sv.heardAt = c.now }
-
 // quiet is how long a server has given no sign of life since a time.
 func (c *Controller) quiet(sv *server, since float64) float64 { return c.now - max(since, sv.heardAt) }
 
@@ -224,19 +226,6 @@
 
 // Load and room.
 
-// observe takes a report that all asked for kb at time t.
-func (p *pipe) observe(t, kb, weight float64) {
-	if t < p.quietTil || t < p.seenAt {
-		return
-	}
-	others := max(kb-p.ownAt(t), 0)
-	if age := t - p.seenAt; age < blendS {
-		weight += (1 - weight) * age / blendS
-		others = weight*others + (1-weight)*p.others
-	}
-	p.others, p.seenAt = others, t
-}
-
 // link is what a server's link should give. A cold server's link is cold too.
 func (c *Controller) link(sv *server) float64 {
 	kb := sv.Weight * c.set.LinkKB
@@ -334,6 +323,7 @@
 	}
 	s := c.newSession(e)
 	c.arrivals[s.class] = append(c.arrivals[s.class], c.now)
+	c.credit = min(c.credit+probePart/max(c.set.ProbeCost, probePart), firstProbes)
 	if c.set.BudgetWindowS > 0 {
 		c.takenAt = append(c.takenAt, c.now)
 	}
@@ -480,9 +470,9 @@
 // ask probes some of the holders whose load isn't known, drawn by lot, before a
 // session is placed, and tells whether an answer is still awaited. At size a
 // front knows next to no server: without it all fronts meet on the first of the
-// shared order. Each probe is priced.
+// shared order. Each probe is priced; where they are dear, none is made here.
 func (c *Controller) ask(s *session) bool {
-	if s.askTil > 0 || c.set.Feed == FeedNone || !c.set.Probes {
+	if s.askTil > 0 || c.set.Feed == FeedNone || !c.set.Probes || c.dear {
 		return c.now < s.askTil-tinyS && c.probesOut > 0
 	}
 	s.askTil = c.now
@@ -525,10 +515,15 @@
 		if sv.Zone != c.set.Zone {
 			use += c.set.CrossZoneCost // a crossing is priced
 		}
+		tie := hash(s.title, uint64(sv.Server))
 		if c.now-sv.seenAt >= staleS {
-			use += unseen
+			if c.dear { // taken at the mean; the front's own lot, or all meet on the first
+				tie = hash(c.seed^uint64(s.id), uint64(sv.Server))
+			} else {
+				use += unseen
+			}
 		}
-		list = append(list, candidate{sv, use, hash(s.title, uint64(sv.Server))})
+		list = append(list, candidate{sv, use, tie})
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.use, b.use), cmp.Compare(a.tie, b.tie))
@@ -569,10 +564,10 @@
 // levelled out over what they may fill.
 func (c *Controller) fit(s *session, sv *server, free float64) int {
 	list := append(append([]*session(nil), sv.sessions...), s)
-	if c.now-sv.seenAt >= staleS && c.fleetUse.seen {
+	part := 1 - roomPart*(1-1/float64(c.set.Fronts)) // the others' arrivals count on the rest
+	if c.now-sv.seenAt >= staleS && c.fleetUse.seen && !c.dear {
 		return c.set.Classes[s.class].Floor
 	}
-	part := 1 - roomPart*(1-1/float64(c.set.Fronts)) // the others' arrivals count on the rest
 	rung := c.level(list, sv.own+free*part)[len(list)-1]
 	for rung > c.set.Classes[s.class].Floor && c.size(s, rung) > free {
 		rung--
@@ -662,7 +657,7 @@
 	if s.server != nil && s.server.Server == e.Server && !s.playing {
 		s.playing, s.playedAt, s.changedAt = true, c.now, c.now
 		s.server.faults = 0
-		c.heard(s.server)
+		s.server.heardAt = c.now
 		c.titles[s.title] = c.now
 	}
 }
@@ -710,14 +705,14 @@
 			return
 		}
 	case Errored:
-		c.heard(sv)
+		sv.heardAt = c.now
 		if _, known := c.titles[s.title]; !known {
 			if sv.faults++; sv.faults < strangeN {
 				return
 			}
 		}
 	case Full:
-		c.heard(sv)
+		sv.heardAt = c.now
 		if c.set.Guard > 0 {
 			sv.observe(c.now, max(c.set.Guard*c.link(sv), sv.own+c.othersOn(sv)), smooth)
 		}
@@ -757,7 +752,7 @@
 func (c *Controller) onProbed(e Event) {
 	c.probesOut = max(c.probesOut-1, 0)
 	if sv := c.servers[e.Server]; sv != nil && e.Status == OK {
-		c.heard(sv)
+		sv.heardAt = c.now
 		c.onLoad(sv, e.Load)
 	} else if sv != nil && e.Status != Moot && c.quiet(sv, 0) > patienceS {
 		sv.restTil = c.now + restS
@@ -821,16 +816,28 @@
 	}
 }
 
-// probeAll asks servers in play for their load where they tell it in no other way.
+// probeAll asks servers in play for their load where they tell it in no other
+// way. Where probes are dear it asks one at a time, of the rack that was heard of
+// least lately, as often as its arrivals pay for: so fronts don't ask in step.
 func (c *Controller) probeAll() {
 	if c.set.Feed != FeedProbe || !c.set.Probes {
 		return
 	}
+	var best *server
 	for _, sv := range c.order {
-		if sv.State == Ready && c.now >= sv.probedAt+probeS && len(sv.sessions) > 0 {
+		if sv.State != Ready || c.now < sv.probedAt+probeS || len(sv.sessions) == 0 {
+			continue
+		}
+		if !c.dear {
 			c.probe(sv)
+		} else if best == nil || sv.rack.seenAt < best.rack.seenAt {
+			best = sv
 		}
 	}
+	if best != nil && c.credit >= 1 {
+		c.credit--
+		c.probe(best)
+	}
 }
 
 // balance answers a shortage under way, whatever its cause, and uses lasting
@@ -901,6 +908,12 @@
 
 // Re-scoring.
 
+// rate is a class's arrivals per second at this front.
+func (c *Controller) rate(k int) float64 {
+	c.arrivals[k] = since(c.arrivals[k], c.now-ratesS)
+	return float64(len(c.arrivals[k])) / max(min(c.now-c.started, ratesS), tickS)
+}
+
 // rescore measures the classes' rates and chooses the reserves by Equation 6,
 // for a server of mean size and the traffic of all fronts.
 func (c *Controller) rescore() {
@@ -924,17 +937,14 @@
 	}
 	c.meanSlots = slots / servers
 	n := int(c.meanSlots)
-	span := min(c.now-c.started, ratesS)
 	lambda, v, q := make([]float64, len(held)), make([]float64, len(held)), make([]float64, len(held))
 	total := 0.0
 	for k := range held {
-		c.arrivals[k] = since(c.arrivals[k], c.now-ratesS)
 		size, worth := c.set.Classes[k].Scale, c.set.Classes[k].Worth*c.set.LadderWorth[len(c.set.RatesKB)/2]
 		if count[k] > 0 {
 			size, worth = held[k]/count[k], earned[k]/count[k]
 		}
-		rate := float64(len(c.arrivals[k])) / max(span, tickS)
-		lambda[k] = rate * float64(c.set.Fronts) / servers * size
+		lambda[k] = c.rate(k) * float64(c.set.Fronts) / servers * size
 		v[k] = worth / size
 		q[k] = penalty * v[k]
 		total += lambda[k]
--- a/control/settings.go
+++ b/control/settings.go
@@ -52,7 +52,7 @@
 	}{
 		{"LinkKB", s.LinkKB}, {"FleetKB", s.FleetKB}, {"RackKB", s.RackKB}, {"Guard", s.Guard},
 		{"SeeS", s.SeeS}, {"SwitchS", s.SwitchS},
-		{"CrossZoneCost", s.CrossZoneCost},
+		{"CrossZoneCost", s.CrossZoneCost}, {"ProbeCost", s.ProbeCost}, {"HandshakeCost", s.HandshakeCost},
 		{"FallMultiple", s.FallMultiple}, {"StartCapacity", s.StartCapacity},
 		{"WarmAfterS", s.WarmAfterS}, {"BudgetWindowS", s.BudgetWindowS}, {"BudgetFree", s.BudgetFree},
 		{"BudgetShare", s.BudgetShare},
--- a/control/size_test.go
+++ b/control/size_test.go
@@ -353,3 +353,71 @@
 		t.Errorf("reserves %v: the paid class has no more than the other", b.c.reserve)
 	}
 }
+
+// dear is many where probes and connections cost as much as they tell.
+func dear(t *testing.T, seed uint64) *bed {
+	t.Helper()
+	b := many(t)
+	b.c.set.ProbeCost, b.c.set.HandshakeCost, b.c.dear, b.c.seed = 0.08, 0.08, true, seed
+	return b
+}
+
+// Where probes are dear, none is made for one session: it goes at once to a holder
+// that the front draws for itself, and not all fronts meet on the same.
+func TestDearProbes(t *testing.T) {
+	set := settings()
+	set.ProbeCost = 0.08
+	if c, err := New(set, 1); err != nil || !c.dear {
+		t.Errorf("a probe at 0.08 of a session is not dear: %v", err)
+	}
+	sent := map[Server]int{}
+	for seed := uint64(1); seed <= 80; seed++ {
+		b := dear(t, seed)
+		b.c.fleetUse.add(0.5)
+		acts := b.arrive(1, 1)
+		if count(acts, ActProbe) > 0 {
+			t.Fatalf("front %d probed at an arrival", seed)
+		}
+		sent[b.mustSend(acts)]++
+		if a := find(acts, ActRung); a.Rung == 0 {
+			t.Fatalf("front %d took a server at the fleet's mean use of 0.5 for full", seed)
+		}
+	}
+	for sv, n := range sent {
+		if len(sent) < 4 || n > 40 {
+			t.Errorf("%d of 80 fronts met on server %d of %d", n, sv, len(sent))
+		}
+	}
+}
+
+// Dear probes are bounded by what they cost, but for a few at the start; a quiet
+// start puts none off, and 80 fronts with arrivals of their own don't probe in step.
+func TestDearProbesAreSpread(t *testing.T) {
+	const fronts, seconds = 80, 30
+	probes, most, came := 0, 0, 0
+	at := map[int]int{}
+	for seed := uint64(1); seed <= fronts; seed++ {
+		b := dear(t, seed)
+		start := b.now
+		for tick := 0; tick < 2*seconds; tick++ {
+			b.now = start + float64(tick)/2
+			if tick > 2 && chance(seed, uint64(tick)) < 0.5 {
+				came++
+				b.do(Event{Kind: EvArrive, Session: SessionID(tick + 1), Class: 1, Title: uint64(tick),
+					LeftS: 5, Span: 12, MaxRung: 4})
+			}
+			n := count(b.answered(b.do(Event{Kind: EvTimer, Token: tokenTick}), 0.5), ActProbe)
+			probes += n
+			if at[tick] += n; tick > 10 {
+				most = max(most, at[tick])
+			}
+		}
+	}
+	cost := float64(probes-fronts*firstProbes) * 0.08 / float64(came)
+	if cost > probePart || cost < probePart/2 {
+		t.Errorf("%d probes for %d sessions cost %.3f of them", probes, came, cost)
+	}
+	if most > fronts/2 {
+		t.Errorf("%d of %d fronts probed in the same half second", most, fronts)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -118,8 +118,10 @@
 	rescoreAt float64
 	draws     uint64
 	probesOut int
-	fleetUse  mean // use of links as reported
-	rackUse   mean // of uplinks
+	credit    float64 // probes that arrivals have paid for, where they are dear
+	dear      bool    // a session doesn't pay for probes of its own
+	fleetUse  mean    // use of links as reported
+	rackUse   mean    // of uplinks
 }
 
 // inUnits counts the times of the settings in units. Where sessions and deadlines
@@ -162,6 +164,19 @@
 	return 0
 }
 
+// observe takes a report that all asked for kb at time t.
+func (p *pipe) observe(t, kb, weight float64) {
+	if t < p.quietTil || t < p.seenAt {
+		return
+	}
+	others := max(kb-p.ownAt(t), 0)
+	if age := t - p.seenAt; age < blendS {
+		weight += (1 - weight) * age / blendS
+		others = weight*others + (1-weight)*p.others
+	}
+	p.others, p.seenAt = others, t
+}
+
 // since drops the times before t.
 func since(times []float64, t float64) []float64 {
 	i := 0
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -58,6 +58,8 @@
 	} `json:"policyLimits"`
 	Charges struct {
 		CrossZone float64 `json:"crossZone"`
+		Probe     float64 `json:"probe"`
+		Handshake float64 `json:"handshake"`
 	} `json:"charges"`
 	Rules struct {
 		FallMultiple float64 `json:"fallMultiple"`
@@ -107,6 +109,7 @@
 		RackKB: f.RackLinkKB, Guard: f.Guard, SeeS: f.SeeS, SwitchS: f.SwitchS,
 		Fields: p.Feedback.Fields, Subscribe: p.Discovery == "subscribe", Probes: p.Limits.Probes,
 		AttemptsCap: p.Limits.AttemptsCap, CrossZoneCost: p.Charges.CrossZone,
+		ProbeCost: p.Charges.Probe, HandshakeCost: p.Charges.Handshake,
 		FallMultiple: r.FallMultiple, StartCapacity: r.StartCap, WarmAfterS: r.WarmAfterS,
 		BudgetWindowS: r.RatioSpanS, BudgetFree: r.ExtraFloor, BudgetShare: r.RepeatRatio,
 	}
--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -13,6 +13,7 @@
 	"familyInfo": {"classFloor": [1], "topByClass": [2], "scaleByClass": [1.2], "licenceCap": [3], "ratesKb": [1, 2, 3],
 		"ladderWorth": [0.1, 0.5, 1], "places": 4, "groups": 2, "kbPerWeight": 10, "kindStreams": [5]},
 	"feedback": {"fields": ["x0"], "via": "probe"}, "policyLimits": {"attemptsCap": 3, "retryAfter": true, "maxRetryAfterS": 2},
+	"charges": {"probe": 0.08, "handshake": 0.07},
 	"obligations": {"extraFloor": 4, "repeatRatio": 0.1, "ratioSpanS": 10}}`
 
 func TestParseSettings(t *testing.T) {
@@ -23,7 +24,7 @@
 	k := s.Classes[0]
 	if k.Effect != control.Deduplicated || k.Floor != 1 || k.Seats != 3 ||
 		s.Fronts != 2 || !s.Subscribe || s.Weights != control.WeighLive || s.Feed != control.FeedProbe ||
-		s.BudgetFree != 4 || s.BudgetWindowS != 10 {
+		s.ProbeCost != 0.08 || s.HandshakeCost != 0.07 || s.BudgetFree != 4 || s.BudgetWindowS != 10 {
 		t.Errorf("settings %+v", s)
 	}
 	for _, bad := range []string{"", "{", `{"balancers": "x"}`, strings.Replace(sampleSettings, "deduplicated", "odd", 1),
