--- a/control/control.go
+++ b/control/control.go
@@ -292,11 +292,6 @@
 	return room
 }
 
-// meanSize is what a session of this front asks for.
-func (c *Controller) meanSize() float64 {
-	return (c.own + c.middle) / float64(len(c.sessions)+1)
-}
-
 // free is what a class may fill: its own reserve, then the shared part. What
 // other classes have reserved and not filled is not free.
 func (c *Controller) free(sv *server, class int) float64 {
@@ -563,18 +558,39 @@
 // part of the room: the rung it would have if this front's sessions there were
 // levelled out over what they may fill.
 func (c *Controller) fit(s *session, sv *server, free float64) int {
+	floor := c.set.Classes[s.class].Floor
+	if c.now-sv.seenAt >= staleS && c.fleetUse.seen && !c.dear {
+		return floor
+	}
 	list := append(append([]*session(nil), sv.sessions...), s)
 	part := 1 - roomPart*(1-1/float64(c.set.Fronts)) // the others' arrivals count on the rest
-	if c.now-sv.seenAt >= staleS && c.fleetUse.seen && !c.dear {
-		return c.set.Classes[s.class].Floor
+	kb := sv.own + free*part
+	if c.slots(sv) < c.middle*float64(c.set.Fronts) {
+		list, kb = c.fleetShare(s)
 	}
-	rung := c.level(list, sv.own+free*part)[len(list)-1]
-	for rung > c.set.Classes[s.class].Floor && c.size(s, rung) > free {
+	rung := c.level(list, kb)[len(list)-1]
+	for rung > floor && c.size(s, rung) > free {
 		rung--
 	}
 	return rung
 }
 
+// fleetShare is all that this front holds, with s, and what that may ask for if the
+// whole fleet is levelled out. Where a front's share of a server is under one slot,
+// its sessions there say nothing, and room that one front may fill alone is filled by
+// all before a report tells. How use goes with the size of a session changes slowly,
+// whatever the fronts do. It harms where the front's sessions are unlike the fleet's.
+func (c *Controller) fleetShare(s *session) (list []*session, kb float64) {
+	for _, sv := range c.order {
+		list = append(list, sv.sessions...)
+	}
+	list = append(list, s)
+	if c.crowd.seen {
+		return list, float64(len(list)) * targetUse / c.crowd.v
+	}
+	return list, targetUse * min(c.set.FleetKB, c.set.RackKB*float64(len(c.racks))) / float64(c.set.Fronts)
+}
+
 // level gives each session the rung that earns most within kb: from the floors
 // up, always the step that earns most for its rate.
 func (c *Controller) level(list []*session, kb float64) []int {
@@ -667,8 +683,7 @@
 	if sv == nil || e.Attempt != s.attempt-1 {
 		return
 	}
-	played := s.playing
-	if played {
+	if s.playing {
 		c.playedS += c.now - s.playedAt
 		c.ends++
 	}
@@ -762,6 +777,9 @@
 
 func (c *Controller) onLoad(sv *server, load []float64) {
 	at := c.now - reportLagS
+	if len(load) > 0 && len(load) == len(c.set.Fields) {
+		c.crowd.add(slices.Max(load) / c.meanSize())
+	}
 	for i, v := range load {
 		if sv == nil || i >= len(c.set.Fields) || !notNegative(v) || v > 100 {
 			continue
@@ -895,25 +913,8 @@
 	}
 }
 
-// hold is the mean length of a session as far as it was seen.
-func (c *Controller) hold() float64 { return (c.playedS + priorHold) / (c.ends + 1) }
-
-// leftOf is how long a session is expected to play on.
-func (c *Controller) leftOf(s *session) float64 {
-	if s.hintEnd > 0 {
-		return max(s.hintEnd-c.now, 0)
-	}
-	return c.hold()
-}
-
 // Re-scoring.
 
-// rate is a class's arrivals per second at this front.
-func (c *Controller) rate(k int) float64 {
-	c.arrivals[k] = since(c.arrivals[k], c.now-ratesS)
-	return float64(len(c.arrivals[k])) / max(min(c.now-c.started, ratesS), tickS)
-}
-
 // rescore measures the classes' rates and chooses the reserves by Equation 6,
 // for a server of mean size and the traffic of all fronts.
 func (c *Controller) rescore() {
--- a/control/size_test.go
+++ b/control/size_test.go
@@ -421,3 +421,28 @@
 		t.Errorf("%d of %d fronts probed in the same half second", most, fronts)
 	}
 }
+
+// Fronts that hold less than a slot of each server fill the fleet together and not
+// each for itself: before a report, and when twice as many come as it told of.
+func TestThinFrontsSumToTheFleet(t *testing.T) {
+	const fronts, fleet = 100, 48000.0
+	asked := 0.0
+	var beds []*bed
+	for seed := uint64(1); seed <= fronts; seed++ {
+		beds = append(beds, dear(t, seed))
+	}
+	for round := SessionID(1); round <= 2; round++ {
+		told := asked / fleet
+		for _, b := range beds {
+			if round > 1 {
+				b.do(Event{Kind: EvProbed, Server: 1, Load: []float64{told, told}})
+			}
+			acts := b.arrive(round, 1)
+			b.mustSend(acts)
+			asked += b.c.set.RatesKB[find(acts, ActRung).Rung]
+		}
+		if most := 0.9 + 0.2*float64(round); asked > most*fleet || asked < 0.6*fleet {
+			t.Errorf("after round %d the fleet is asked for %.2f of what it gives", round, asked/fleet)
+		}
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -122,6 +122,7 @@
 	dear      bool    // a session doesn't pay for probes of its own
 	fleetUse  mean    // use of links as reported
 	rackUse   mean    // of uplinks
+	crowd     mean    // use of the tighter over the mean size of own sessions
 }
 
 // inUnits counts the times of the settings in units. Where sessions and deadlines
@@ -264,6 +265,28 @@
 	return c.set.RatesKB[rung] * c.set.Classes[s.class].Scale
 }
 
+// meanSize is what a session of this front asks for.
+func (c *Controller) meanSize() float64 {
+	return (c.own + c.middle) / float64(len(c.sessions)+1)
+}
+
+// hold is the mean length of a session as far as it was seen.
+func (c *Controller) hold() float64 { return (c.playedS + priorHold) / (c.ends + 1) }
+
+// leftOf is how long a session is expected to play on.
+func (c *Controller) leftOf(s *session) float64 {
+	if s.hintEnd > 0 {
+		return max(s.hintEnd-c.now, 0)
+	}
+	return c.hold()
+}
+
+// rate is a class's arrivals per second at this front.
+func (c *Controller) rate(k int) float64 {
+	c.arrivals[k] = since(c.arrivals[k], c.now-ratesS)
+	return float64(len(c.arrivals[k])) / max(min(c.now-c.started, ratesS), tickS)
+}
+
 // attach counts a session on a server until detach.
 func (c *Controller) attach(s *session, sv *server) {
 	s.server = sv
