--- a/internal/media/conn.go
+++ b/internal/media/conn.go
@@ -32,13 +32,14 @@
 	open    int       // set-ups open on it
 	touched time.Time // when it last carried anything
 	asked   time.Time // when the first set-up was written that nothing has come after; zero: none
+	used    bool      // it has carried a message
 	dead    bool      // nothing more is written on it
 	closeAt time.Time // when a dead one is closed; zero: by whoever made it dead
 }
 
 // write sends one message. It returns how many of its bytes left.
 func (c *conn) write(b []byte) (int, error) {
-	c.touched = time.Now()
+	c.touched, c.used = time.Now(), true
 	if err := c.SetWriteDeadline(c.touched.Add(writeTime)); err != nil {
 		return 0, err
 	}
--- a/internal/media/media_test.go
+++ b/internal/media/media_test.go
@@ -442,3 +442,30 @@
 		}
 	})
 }
+
+// Eighty managers that each look at a silent node open connections that carry
+// nothing. A look's connection neither takes a set-up from one that is in use
+// nor outlives it, and one in use serves for most of the node's idle time.
+func TestLooksCostNoHandshake(t *testing.T) {
+	n, look, _, _ := bed(t)
+	inUse, far := net.Pipe()
+	t.Cleanup(func() { inUse.Close(); far.Close() })
+	go io.Copy(io.Discard, far)
+	old := &conn{Conn: inUse, used: true, touched: time.Now().Add(-n.pool.cfg.ConnIdle * 8 / 10)}
+	n.conns = []*conn{old, look}
+	if n.usable() != old {
+		t.Error("a set-up would go on a connection that nothing has used yet")
+	}
+	n.handle(try(1))
+	if old.open != 1 || look.used {
+		t.Errorf("%d set-ups on the connection in use", old.open)
+	}
+	old.open, old.touched = 0, time.Now().Add(-2*spareTime)
+	for range keptConns {
+		n.conns = append(n.conns, &conn{Conn: look.Conn, touched: old.touched})
+	}
+	n.look(time.Now())
+	if old.dead || !n.conns[2].dead {
+		t.Error("the connection in use was retired, and not one that was opened for a look")
+	}
+}
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -42,6 +42,7 @@
 	mostConns   = 12                     // to one node; more than open between two closes as idle
 	keptConns   = 2                      // that are kept though nothing is open on them
 	spareTime   = 2 * time.Second        // after which others are retired
+	usablePart  = 9                      // tenths of a node's idle time, after which a connection may be closing there
 	suspectTime = 200 * time.Millisecond // without a word since a set-up, after which others take another connection
 	keepGiven   = 10 * time.Second       // how long a set-up that was given up is known, for a late answer
 )
@@ -195,18 +196,21 @@
 
 // usable returns a connection for a new set-up. One that has long been idle
 // may be closing at the node: what is written there may or may not have run.
-func (n *node) usable() *conn {
+// One that has carried something goes before one that was opened for a look:
+// the first use of each is a handshake's work to the node.
+func (n *node) usable() (best *conn) {
 	for i := len(n.conns) - 1; i >= 0; i-- {
 		c := n.conns[i]
-		if n.fresh(c) && c.open < n.pool.cfg.StreamsPerConn && (!c.suspect() || len(n.conns) >= mostConns) {
-			return c
+		if n.fresh(c) && c.open < n.pool.cfg.StreamsPerConn && (!c.suspect() || len(n.conns) >= mostConns) &&
+			(best == nil || c.used && !best.used) {
+			best = c
 		}
 	}
-	return nil
+	return best
 }
 
 func (n *node) fresh(c *conn) bool {
-	return !c.dead && (c.open > 0 || time.Since(c.touched) < n.pool.cfg.ConnIdle*6/10)
+	return !c.dead && (c.open > 0 || time.Since(c.touched) < n.pool.cfg.ConnIdle*usablePart/10)
 }
 
 // suspect tells whether a connection has been silent since a set-up for so long
@@ -444,13 +448,15 @@
 			spare++
 		}
 	}
-	for _, c := range n.conns { // the oldest first
-		switch {
-		case !c.closeAt.IsZero() && now.After(c.closeAt):
-			n.close(c)
-		case spare > 0 && !c.dead && c.open == 0 && now.Sub(c.touched) > spareTime:
-			spare--
-			c.retire(n.pool.cfg.ConnIdle)
+	for _, used := range []bool{false, true} { // what was opened for a look first, then the oldest
+		for _, c := range n.conns {
+			switch {
+			case !c.closeAt.IsZero() && now.After(c.closeAt):
+				n.close(c)
+			case spare > 0 && c.used == used && !c.dead && c.open == 0 && now.Sub(c.touched) > spareTime:
+				spare--
+				c.retire(n.pool.cfg.ConnIdle)
+			}
 		}
 	}
 	// A machine that is cut off keeps its connections open and silent: only a
