--- a/control/control.go
+++ b/control/control.go
@@ -50,6 +50,8 @@
 	// Health.
 	strangeN   = 6     // errors on titles that never played, with no start between, that rest a server
 	titlesS    = 60    // s for which a title is remembered to have played
+	lostN      = 3     // failures in a zone, with no word from any server of it, that rest the zone
+	lostS      = 4     // s that it rests, give or take a half by lot
 	restS      = 2     // s that a server rests after a full or failing answer
 	silentS    = 1     // s a set-up may be unanswered before its server is left alone
 	patienceS  = 0.4   // s, the shortest time-out of a set-up that may be sent again
@@ -93,8 +95,9 @@
 		mix:     make([]float64, len(set.Classes)),
 		middle:  set.RatesKB[len(set.RatesKB)/2],
 		titles:  make(map[uint64]float64),
-		credit:  firstProbes,
-		dear:    askN*(set.ProbeCost+set.HandshakeCost) > askPrice,
+		lost:    make(map[int]int), lostTil: make(map[int]float64),
+		credit: firstProbes,
+		dear:   askN*(set.ProbeCost+set.HandshakeCost) > askPrice,
 	}
 	for range max(set.Racks, 1) {
 		c.racks = append(c.racks, &rack{pipe: newPipe()})
@@ -144,9 +147,6 @@
 	return c.out
 }
 
-// quiet is how long a server has given no sign of life since a time.
-func (c *Controller) quiet(sv *server, since float64) float64 { return c.now - max(since, sv.heardAt) }
-
 // The server list.
 
 func (c *Controller) onList(e Event) {
@@ -182,7 +182,7 @@
 	sv.Entry = n
 	if n.SinceS > last && n.SinceS+c.set.WarmAfterS > c.now {
 		c.chill(sv, n.SinceS)
-		sv.restTil = 0
+		sv.restTil, c.lost[n.Zone], c.lostTil[n.Zone] = 0, 0, 0
 	}
 	sv.rack = c.racks[n.Cell%len(c.racks)]
 	c.account(sv)
@@ -226,19 +226,6 @@
 
 // Load and room.
 
-// link is what a server's link should give. A cold server's link is cold too.
-func (c *Controller) link(sv *server) float64 {
-	kb := sv.Weight * c.set.LinkKB
-	if c.set.Weights == WeighLive || !positive(kb) {
-		kb = c.set.FleetKB / float64(max(len(c.order), 1))
-	}
-	if c.now < sv.coldTil && c.set.WarmAfterS > 0 {
-		warm := (c.now - sv.coldAt) / c.set.WarmAfterS
-		kb *= c.set.StartCapacity + (1-c.set.StartCapacity)*min(max(warm, 0), 1)
-	}
-	return kb
-}
-
 // othersOn is what other fronts ask of a server's link: as last reported, or
 // without a fresh report an even share of what this front's own load suggests.
 func (c *Controller) othersOn(sv *server) float64 {
@@ -246,7 +233,7 @@
 		return sv.others
 	}
 	if c.fleetUse.seen {
-		return max(c.fleetUse.v*c.link(sv)-sv.own, 0)
+		return max(c.fleetUse.v/c.links()*c.link(sv)-sv.own, 0)
 	}
 	return c.own * float64(c.set.Fronts-1) / float64(max(len(c.order), 1))
 }
@@ -256,7 +243,7 @@
 		return r.others
 	}
 	if c.rackUse.seen {
-		return max(c.rackUse.v*c.set.RackKB-r.own, 0)
+		return max(c.rackUse.v/c.links()*c.set.RackKB-r.own, 0)
 	}
 	sum := 0.0
 	for _, sv := range r.servers {
@@ -322,7 +309,7 @@
 	if c.set.BudgetWindowS > 0 {
 		c.takenAt = append(c.takenAt, c.now)
 	}
-	if c.flooded(e.Tenant) && max(c.fleetUse.v, c.rackUse.v) > slackUse {
+	if c.flooded(e.Tenant) && max(c.fleetUse.v, c.rackUse.v) > slackUse*c.links() {
 		c.answer(s, ActDeny)
 		return
 	}
@@ -528,7 +515,7 @@
 
 // usable tells whether a holder may be sent a session at all.
 func (c *Controller) usable(s *session, sv *server) bool {
-	if sv.State != Ready || c.now < sv.restTil {
+	if sv.State != Ready || c.now < max(sv.restTil, c.lostTil[sv.Zone]) {
 		return false
 	}
 	for _, t := range s.tried {
@@ -577,18 +564,18 @@
 
 // fleetShare is all that this front holds, with s, and what that may ask for if the
 // whole fleet is levelled out. Where a front's share of a server is under one slot,
-// its sessions there say nothing, and room that one front may fill alone is filled by
-// all before a report tells. How use goes with the size of a session changes slowly,
-// whatever the fronts do. It harms where the front's sessions are unlike the fleet's.
+// its sessions there say nothing, and all fronts fill the room that each sees before a
+// report tells. What is asked for over the size of a session changes slowly, whatever
+// the fronts do. It harms where the front's sessions are unlike the fleet's.
 func (c *Controller) fleetShare(s *session) (list []*session, kb float64) {
 	for _, sv := range c.order {
 		list = append(list, sv.sessions...)
 	}
 	list = append(list, s)
 	if c.crowd.seen {
-		return list, float64(len(list)) * targetUse / c.crowd.v
+		return list, float64(len(list)) * targetUse * c.links() / c.crowd.v
 	}
-	return list, targetUse * min(c.set.FleetKB, c.set.RackKB*float64(len(c.racks))) / float64(c.set.Fronts)
+	return list, min(targetUse*c.links()/float64(c.set.Fronts), float64(len(list))*c.middle)
 }
 
 // level gives each session the rung that earns most within kb: from the floors
@@ -673,7 +660,7 @@
 	if s.server != nil && s.server.Server == e.Server && !s.playing {
 		s.playing, s.playedAt, s.changedAt = true, c.now, c.now
 		s.server.faults = 0
-		s.server.heardAt = c.now
+		c.heard(s.server)
 		c.titles[s.title] = c.now
 	}
 }
@@ -720,19 +707,33 @@
 			return
 		}
 	case Errored:
-		sv.heardAt = c.now
+		c.heard(sv)
 		if _, known := c.titles[s.title]; !known {
 			if sv.faults++; sv.faults < strangeN {
 				return
 			}
 		}
 	case Full:
-		sv.heardAt = c.now
+		c.heard(sv)
 		if c.set.Guard > 0 {
 			sv.observe(c.now, max(c.set.Guard*c.link(sv), sv.own+c.othersOn(sv)), smooth)
 		}
 	}
+	c.rest(sv, e.Status == ConnectFailed)
+}
+
+// rest leaves a server alone for a while, and its zone once several of it in a row
+// could not be reached while another zone is heard of: at size each front would fail
+// on each server else. It harms where just these were at fault.
+func (c *Controller) rest(sv *server, silent bool) {
 	sv.restTil = c.now + restS
+	if silent {
+		c.lost[sv.Zone]++
+	}
+	lives := func(o *server) bool { return o.State == Ready && o.Zone != sv.Zone && c.lost[o.Zone] == 0 }
+	if silent && c.lost[sv.Zone] >= lostN && slices.ContainsFunc(c.order, lives) {
+		c.lostTil[sv.Zone] = c.now + lostS*(0.5+c.draw())
+	}
 }
 
 // Notes and reports.
@@ -742,6 +743,7 @@
 	if sv == nil || sv.Server != e.Server || !notNegative(e.Value) || e.Value > 100 {
 		return
 	}
+	c.lost[sv.Zone] = 0
 	at := c.now - c.set.SeeS
 	if e.Note != NoteShare && c.now-s.sentAt < c.set.SeeS { // sent at set-up: of now
 		at = c.now
@@ -767,10 +769,10 @@
 func (c *Controller) onProbed(e Event) {
 	c.probesOut = max(c.probesOut-1, 0)
 	if sv := c.servers[e.Server]; sv != nil && e.Status == OK {
-		sv.heardAt = c.now
+		c.heard(sv)
 		c.onLoad(sv, e.Load)
 	} else if sv != nil && e.Status != Moot && c.quiet(sv, 0) > patienceS {
-		sv.restTil = c.now + restS
+		c.rest(sv, e.Status == ConnectFailed)
 	}
 	c.placeWaiting(true)
 }
@@ -778,7 +780,7 @@
 func (c *Controller) onLoad(sv *server, load []float64) {
 	at := c.now - reportLagS
 	if len(load) > 0 && len(load) == len(c.set.Fields) {
-		c.crowd.add(slices.Max(load) / c.meanSize())
+		c.crowd.add(slices.Max(load) * c.links() / c.meanSize())
 	}
 	for i, v := range load {
 		if sv == nil || i >= len(c.set.Fields) || !notNegative(v) || v > 100 {
@@ -786,13 +788,13 @@
 		}
 		switch c.set.Fields[i] {
 		case "x0", "load_share": // at its cap, a share of load says no more than that
-			c.fleetUse.add(min(v, 2))
+			c.fleetUse.add(min(v, 2) * c.links())
 			kb := v * c.link(sv)
 			if c.set.Fields[i] == "x0" || v < capped || kb > sv.own+c.othersOn(sv) {
 				sv.observe(at, kb, smoothLoad)
 			}
 		case "x1":
-			c.rackUse.add(min(v, 2))
+			c.rackUse.add(min(v, 2) * c.links())
 			sv.rack.observe(at, v*c.set.RackKB, smoothLoad)
 		}
 	}
--- a/control/size_test.go
+++ b/control/size_test.go
@@ -446,3 +446,67 @@
 		}
 	}
 }
+
+// zones is dear with twelve servers in two zones, the odd ones in zone 1.
+func zones(t *testing.T, seed uint64) *bed {
+	b := dear(t, seed)
+	e := Event{Kind: EvList, List: ListFull}
+	for i := range 12 {
+		e.Entries = append(e.Entries, Entry{Server: Server(i + 1), State: Ready, Cell: i, Zone: (i + 1) % 2, Weight: 1})
+	}
+	b.do(e)
+	return b
+}
+
+// A front learns of a zone's loss from its first failures and not from each server,
+// and comes back once one is heard of. Ends at the zone's servers alone rest no zone
+// while others of it are heard of.
+func TestLostZone(t *testing.T) {
+	const fronts = 80
+	failed := 0
+	for seed := uint64(1); seed <= fronts; seed++ {
+		b := zones(t, seed)
+		id := SessionID(0)
+		place := func(lost bool) (zone1 bool) {
+			id++
+			acts := b.do(Event{Kind: EvArrive, Session: id, Class: 1, Title: uint64(id), LeftS: 5, Span: 12, MaxRung: 4})
+			for n := 0; ; n++ {
+				sv := b.mustSend(acts)
+				if zone1 = sv%2 == 1; !zone1 || !lost {
+					b.do(Event{Kind: EvFirst, Session: id, Server: sv, Attempt: n})
+					b.end(id, n, sv, OK, true)
+					return zone1
+				}
+				failed++
+				acts = b.end(id, n, sv, ConnectFailed, false)
+			}
+		}
+		for range 20 {
+			b.now += 0.05
+			place(true)
+		}
+		if !(b.now < b.c.lostTil[1]) || b.c.links() > 0.6*48000 {
+			t.Fatalf("front %d does not know the zone as lost", seed)
+		}
+		b.do(Event{Kind: EvList, List: ListDelta, Entries: []Entry{{Server: 1, State: Ready, Zone: 1, Weight: 1, SinceS: b.now}}})
+		back := false
+		for range 40 {
+			b.now += 0.05
+			back = place(false) || back
+		}
+		if !back {
+			t.Errorf("front %d sends nothing to a zone that is back", seed)
+		}
+	}
+	if failed > fronts*(lostN+1) {
+		t.Errorf("%d fronts failed %d times on one zone", fronts, failed)
+	}
+	b := zones(t, 1)
+	for i := range 6 { // servers short of connections in a zone that lives
+		b.c.heard(b.c.servers[11])
+		b.c.rest(b.c.servers[Server(2*(i%4)+1)], true)
+	}
+	if b.now < b.c.lostTil[1] {
+		t.Error("a zone that is heard of was given up")
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -117,12 +117,16 @@
 	mix       []float64 // class shares of the load
 	rescoreAt float64
 	draws     uint64
+	linksAt   float64 // when linksKB was reckoned
+	linksKB   float64
+	lost      map[int]int     // failures in a zone since a word from any server of it
+	lostTil   map[int]float64 // when a zone that seems lost is tried again
 	probesOut int
 	credit    float64 // probes that arrivals have paid for, where they are dear
 	dear      bool    // a session doesn't pay for probes of its own
-	fleetUse  mean    // use of links as reported
-	rackUse   mean    // of uplinks
-	crowd     mean    // use of the tighter over the mean size of own sessions
+	fleetUse  mean    // use of links as reported, times links()
+	rackUse   mean    // likewise of uplinks
+	crowd     mean    // the tighter of both likewise, over the mean size of own sessions
 }
 
 // inUnits counts the times of the settings in units. Where sessions and deadlines
@@ -236,6 +240,39 @@
 	return all
 }
 
+// heard notes a sign of life of a server, and so of its zone.
+func (c *Controller) heard(sv *server) { sv.heardAt, c.lost[sv.Zone] = c.now, 0 }
+
+// quiet is how long a server has given no sign of life since a time.
+func (c *Controller) quiet(sv *server, since float64) float64 { return c.now - max(since, sv.heardAt) }
+
+// link is what a server's link should give. A cold server's link is cold too.
+func (c *Controller) link(sv *server) float64 {
+	kb := sv.Weight * c.set.LinkKB
+	if c.set.Weights == WeighLive || !positive(kb) {
+		kb = c.set.FleetKB / float64(max(len(c.order), 1))
+	}
+	if c.now < sv.coldTil && c.set.WarmAfterS > 0 {
+		warm := (c.now - sv.coldAt) / c.set.WarmAfterS
+		kb *= c.set.StartCapacity + (1-c.set.StartCapacity)*min(max(warm, 0), 1)
+	}
+	return kb
+}
+
+// links is what all servers in reach should give together; reckoned once an event.
+func (c *Controller) links() (kb float64) {
+	if c.linksAt == c.now {
+		return c.linksKB
+	}
+	for _, sv := range c.order {
+		if sv.State == Ready && c.now >= c.lostTil[sv.Zone] {
+			kb += c.link(sv)
+		}
+	}
+	c.linksAt, c.linksKB = c.now, max(kb, 1)
+	return c.linksKB
+}
+
 // streams is how many streams a server runs at most, by its kind.
 func (c *Controller) streams(sv *server) float64 {
 	if sv.Kind >= 0 && sv.Kind < len(c.set.KindStreams) {
