--- a/control/control.go
+++ b/control/control.go
@@ -33,6 +33,7 @@
 	dwellS      = 6    // s between raises of one session; keeps an on-and-off neighbour from swinging it
 	firstProbes = 3    // single ones that a front makes at its start
 	unseen      = 1    // added to the use of a holder whose load isn't known, where it can be asked for
+	evenHeld    = 8    // sessions beside a front's own by which its count damps as a sign of the crowd
 	roomLife    = 2    // s since a server's last sign of life, up to which room is made there
 	roomGain    = 1.5  // a newcomer must be worth so many times what lowering others for it costs
 	roomPart    = 0.5  // of the room that a newcomer leaves if all other arrivals are of other fronts
@@ -178,13 +179,11 @@
 		c.servers[n.Server] = sv
 		c.order = append(c.order, sv)
 	}
-	last := sv.SinceS
-	sv.Entry = n
-	if n.SinceS > last && n.SinceS+c.set.WarmAfterS > c.now {
+	if n.SinceS > sv.SinceS && n.SinceS+c.set.WarmAfterS > c.now {
 		c.chill(sv, n.SinceS)
 		sv.restTil, c.lost[n.Zone], c.lostTil[n.Zone] = 0, 0, 0
 	}
-	sv.rack = c.racks[n.Cell%len(c.racks)]
+	sv.Entry, sv.rack = n, c.racks[n.Cell%len(c.racks)]
 	c.account(sv)
 }
 
@@ -450,9 +449,8 @@
 }
 
 // ask probes some of the holders whose load isn't known, drawn by lot, before a
-// session is placed, and tells whether an answer is still awaited. At size a
-// front knows next to no server: without it all fronts meet on the first of the
-// shared order. Each probe is priced; where they are dear, none is made here.
+// session is placed, and tells whether an answer is still awaited. Each probe is
+// priced; where they are dear, none is made here.
 func (c *Controller) ask(s *session) bool {
 	if s.askTil > 0 || c.set.Feed == FeedNone || !c.set.Probes || c.dear {
 		return c.now < s.askTil-tinyS && c.probesOut > 0
@@ -498,12 +496,10 @@
 			use += c.set.CrossZoneCost // a crossing is priced
 		}
 		tie := hash(s.title, uint64(sv.Server))
-		if c.now-sv.seenAt >= staleS {
-			if c.dear { // taken at the mean; the front's own lot, or all meet on the first
-				tie = hash(c.seed^uint64(s.id), uint64(sv.Server))
-			} else {
-				use += unseen
-			}
+		if stale := c.now-sv.seenAt >= staleS; stale && c.dear { // at the mean, by an own lot
+			tie = hash(c.seed^uint64(s.id), uint64(sv.Server))
+		} else if stale {
+			use += unseen
 		}
 		list = append(list, candidate{sv, use, tie})
 	}
@@ -565,17 +561,18 @@
 // fleetShare is all that this front holds, with s, and what that may ask for if the
 // whole fleet is levelled out. Where a front's share of a server is under one slot,
 // its sessions there say nothing, and all fronts fill the room that each sees before a
-// report tells. What is asked for over the size of a session changes slowly, whatever
-// the fronts do. It harms where the front's sessions are unlike the fleet's.
+// report tells. What is asked for over the front's own count and size of sessions
+// changes slowly, whatever the fronts do. It harms where these are unlike the fleet's.
 func (c *Controller) fleetShare(s *session) (list []*session, kb float64) {
 	for _, sv := range c.order {
 		list = append(list, sv.sessions...)
 	}
 	list = append(list, s)
+	n := float64(len(list))
 	if c.crowd.seen {
-		return list, float64(len(list)) * targetUse * c.links() / c.crowd.v
+		return list, n / (n + evenHeld) * targetUse * c.links() / c.crowd.v
 	}
-	return list, min(targetUse*c.links()/float64(c.set.Fronts), float64(len(list))*c.middle)
+	return list, min(targetUse*c.links()/float64(c.set.Fronts), n*c.middle)
 }
 
 // level gives each session the rung that earns most within kb: from the floors
@@ -780,7 +777,7 @@
 func (c *Controller) onLoad(sv *server, load []float64) {
 	at := c.now - reportLagS
 	if len(load) > 0 && len(load) == len(c.set.Fields) {
-		c.crowd.add(slices.Max(load) * c.links() / c.meanSize())
+		c.crowd.add(slices.Max(load) * c.links() / c.meanSize() / float64(len(c.sessions)+evenHeld))
 	}
 	for i, v := range load {
 		if sv == nil || i >= len(c.set.Fields) || !notNegative(v) || v > 100 {
@@ -887,7 +884,11 @@
 
 // ease lowers rungs where more is asked than a link or uplink gives.
 func (c *Controller) ease(p *pipe, list []*session, use float64) {
-	if len(list) == 0 || use <= shortUse || c.now < p.quietTil {
+	short := shortUse
+	if c.dear { // notes tell then, which are less noisy than reports
+		short = 1 / fullShare
+	}
+	if len(list) == 0 || use <= short || c.now < p.quietTil {
 		return
 	}
 	keep := lowerTo / use
--- a/control/size_test.go
+++ b/control/size_test.go
@@ -510,3 +510,32 @@
 		t.Error("a zone that is heard of was given up")
 	}
 }
+
+// A front's own count tells of a crowd before a report does: while its sessions
+// double, newcomers get smaller ones. Where loads are told by notes, each note of
+// short delivery lowers rungs.
+func TestCrowdAndShortage(t *testing.T) {
+	b := dear(t, 1)
+	b.do(Event{Kind: EvProbed, Server: 1, Load: []float64{0.2, 0.2}})
+	each := func() float64 {
+		list, kb := b.c.fleetShare(b.c.newSession(Event{Session: 99, Class: 1, MaxRung: 4}))
+		delete(b.c.sessions, 99)
+		return kb / float64(len(list))
+	}
+	before := each()
+	for id := SessionID(1); id <= 20; id++ {
+		b.do(Event{Kind: EvOpen, Session: id, Server: Server(id%12 + 1), Class: 1, MaxRung: 4})
+	}
+	if now := each(); now > before/2 {
+		t.Errorf("%.0f kB/s for a newcomer, %.0f before twenty sessions came", now, before)
+	}
+	b.do(Event{Kind: EvNote, Session: 1, Server: 2, Note: NoteRung, Value: 3})
+	for range 20 {
+		b.now += 2 * reactS
+		b.do(Event{Kind: EvNote, Session: 1, Server: 2, Note: NoteShare, Value: 0.95})
+		if find(b.do(Event{Kind: EvTimer, Token: tokenTick}), ActRung) != nil {
+			return
+		}
+	}
+	t.Error("no rung was lowered by twenty notes of 0.95")
+}
