--- a/control/control.go
+++ b/control/control.go
@@ -37,7 +37,7 @@
 	roomLife    = 2    // s since a server's last sign of life, up to which room is made there
 	roomGain    = 1.5  // a newcomer must be worth so many times what lowering others for it costs
 	roomPart    = 0.5  // of the room that a newcomer leaves if all other arrivals are of other fronts
-	probePart   = 0.02 // part of the sessions' worth that dear probes of single servers may cost
+	probePart   = 0.01 // part of the sessions' worth that dear probes of single servers may cost
 	probeS      = 30   // s between probes of a server that tells its load in no other way; each is priced
 	smooth      = 0.7  // weight of a new note against an older one of about the same time
 	smoothLoad  = 0.25 // weight of a load report likewise; it is noisier
