Slow a client that asks faster than it listens, in place of closing it

Need: a gateway that sent 1,000 set-ups at once on one connection got a reset and no answer, and the log said nothing: 512 waiting answers closed it, and the close over unread bytes took the written ones along.

Change: the reader of a connection pauses while over 64 KiB wait for its writer; what others cause is bounded at 4 MiB. A reader that takes less than 64 KiB in 2 s is closed with a log line. A close after an answer lingers for 200 ms at most. No set-up opens on a connection that is about to close. Failures and refusals carry a reason on the players' front. A program that ended while a player was away crashed on its missing connection; it is told nothing now.

--- a/internal/broker/api.go
+++ b/internal/broker/api.go
@@ -62,6 +62,7 @@
 	ID          control.SessionID
 	Cause       int
 	Wait        time.Duration
+	Reason      string // of a refusal or a failure, for people; may be empty
 	Description []byte
 }
 
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -185,7 +185,7 @@
 func (b *Broker) closeStanding() {
 	for id, s := range b.sessions {
 		if s.playing {
-			s.client.Deliver(Reply{Kind: Over, ID: id, Cause: CauseCut})
+			b.toldOver(s, Reply{Kind: Over, ID: id, Cause: CauseCut}) // its player's connection may be lost
 			b.nodes.Release(s.server, id, CauseCut)
 		}
 	}
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -318,6 +318,20 @@
 	}
 }
 
+// A player that is away when the program ends is no reason not to end.
+func TestDrainWithoutItsPlayer(t *testing.T) {
+	b, f := bed(t)
+	b.ask(f, 1, clip, -1, time.Minute)
+	b.tells(1, Started, 0)
+	b.handle(lost{f})
+	b.handle(finish{})
+	b.stopping = b.stopping.Add(-time.Hour)
+	b.checkDrained()
+	if got := f.take(); got != "setup 1, served 1, teardown 1" {
+		t.Error(got)
+	}
+}
+
 func TestMoveEndsBothSides(t *testing.T) {
 	b, f := bed(t)
 	b.ask(f, 1, feed, -1, 0)
--- a/internal/front/jsonl/jsonl.go
+++ b/internal/front/jsonl/jsonl.go
@@ -28,6 +28,8 @@
 	Core     message.Core
 	Catalog  message.Catalog
 	MaxConns int
+	MostOpen int  // set-ups on one connection; 0: peer.DefaultOpen
+	Reasons  bool // failures and refusals say why; the platform's protocol has no field for it
 	Log      *zap.Logger
 
 	mu     sync.Mutex
@@ -50,7 +52,7 @@
 
 // Serve accepts until ctx ends.
 func (f *Front) Serve(ctx context.Context, l net.Listener) error {
-	return peer.Serve(ctx, l, f.MaxConns, f.Log, func(_ context.Context, p *peer.Conn) {
+	return peer.Serve(ctx, l, f.MaxConns, f.MostOpen, f.Log, func(_ context.Context, p *peer.Conn) {
 		c := &conn{p, f}
 		f.add(c)
 		defer f.remove(c)
@@ -129,6 +131,9 @@
 }
 
 func (c *conn) send(r broker.Reply) bool {
+	if !c.front.Reasons {
+		r.Reason = ""
+	}
 	return c.Put(append(message.AppendReply(nil, r), '\n'))
 }
 
@@ -136,7 +141,7 @@
 func (c *conn) read() {
 	in := stream.NewReader(c, message.Max)
 	var m message.Message
-	for {
+	for c.Pace() {
 		var line []byte
 		err := in.Next(func(b []byte) (int, error) {
 			i := bytes.IndexByte(b, '\n')
@@ -185,11 +190,12 @@
 		return false // there is no id to answer under
 	case err != nil:
 		c.front.Log.Info("set-up not understood", zap.Error(err))
-		return c.send(broker.Reply{Kind: broker.Failed, ID: r.ID, Cause: broker.CauseFailed})
+		return c.send(broker.Reply{Kind: broker.Failed, ID: r.ID, Cause: broker.CauseFailed, Reason: err.Error()})
 	case !c.Opened(uint64(r.ID)) || !c.front.Core.Submit(r):
 		// Guard: too many wait, on this connection or before the module. Nothing
 		// has been tried.
-		return c.Deliver(broker.Reply{Kind: broker.Refused, ID: r.ID, Cause: broker.CauseRefused, Wait: time.Second})
+		return c.Deliver(broker.Reply{Kind: broker.Refused, ID: r.ID, Cause: broker.CauseRefused,
+			Wait: time.Second, Reason: message.ReasonBusy})
 	}
 	return true
 }
--- a/internal/front/message/message.go
+++ b/internal/front/message/message.go
@@ -18,6 +18,10 @@
 // Max is the longest message.
 const Max = 16 << 10
 
+// ReasonBusy is told where too many set-ups wait already, on one connection or
+// before the module.
+const ReasonBusy = "too many set-ups wait"
+
 // ErrSyntax reports bytes that are no message.
 var ErrSyntax = errors.New("message: malformed")
 
@@ -301,6 +305,13 @@
 		b = strconv.AppendInt(b, max(r.Wait.Milliseconds(), 1), 10)
 		b = append(b, '"')
 	}
+	if r.Reason != "" {
+		if b[len(b)-1] != '{' {
+			b = append(b, ',')
+		}
+		b = append(b, `"reason":`...)
+		b = appendText(b, []byte(r.Reason))
+	}
 	b = append(b, '}')
 	if r.Kind == broker.Served {
 		b = append(b, `,"sdp":`...)
@@ -368,32 +379,32 @@
 		return r, err
 	}
 	if r.Class = slices.Index(c.Classes, string(m.Get("class"))); r.Class < 0 {
-		return r, errors.New("message: unknown class")
+		return r, errors.New("unknown class")
 	}
 	if name := m.Get("tenant"); len(name) > 0 {
 		if r.Team = slices.Index(c.Teams, string(name)); r.Team < 0 && len(c.Teams) > 0 {
-			return r, errors.New("message: unknown tenant")
+			return r, errors.New("unknown tenant")
 		}
 	}
 	r.Key = string(m.Get("key"))
 	if r.Title, err = strconv.ParseUint(r.Key, 16, 64); err != nil || len(r.Key) > 16 {
-		return r, errors.New("message: key is no title")
+		return r, errors.New("key is no title")
 	}
 	left, ok := figure(m.Get("left"), 1, float64(math.MaxInt32))
 	r.Left = time.Duration(left) * time.Millisecond
 	if !ok || r.Left > c.MostLeft && m.At() == nil {
-		return r, errors.New("message: left is out of range")
+		return r, errors.New("left is out of range")
 	}
 	extras := m.Get("extras")
 	home, ok1 := figure(extra(extras, "home"), 0, float64(c.Cells-1))
 	span, ok2 := figure(extra(extras, "copies"), 1, float64(c.Cells))
 	top, ok3 := figure(extra(extras, "top"), 0, float64(c.MaxRung))
 	if !ok1 || !ok2 || !ok3 {
-		return r, errors.New("message: home, copies or top is missing or out of range")
+		return r, errors.New("home, copies or top is missing or out of range")
 	}
 	r.Home, r.Span, r.MaxRung = int(home), int(span), top
 	if len(m.SDP) > Max-roomOnWire {
-		return r, errors.New("message: description too long")
+		return r, errors.New("description too long")
 	}
 	r.Description = bytes.Clone(m.SDP) // it outlives the read buffer
 	return r, nil
--- a/internal/front/peer/peer.go
+++ b/internal/front/peer/peer.go
@@ -4,9 +4,12 @@
 package peer
 
 import (
-	"bytes"
 	"context"
+	"errors"
+	"io"
+	"math"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,28 +21,46 @@
 )
 
 const (
-	outLimit  = 512             // messages that wait for one connection
-	writeTime = 2 * time.Second // after which a reader is too slow
+	// paceBytes may wait for a connection's reader before no more is read from
+	// it: a client that asks faster than it listens is slowed down, not closed.
+	paceBytes = 64 << 10
+	// mostBytes bounds all that may wait, what others cause among it, such as the
+	// ends of sessions. A reader that lets more wait loses its connection.
+	mostBytes = 4 << 20
+	// writeTime is how long a reader may take for paceBytes.
+	writeTime = 2 * time.Second
+	// lingerTime and lingerBytes bound what is still read, and thrown away, of a
+	// connection that is closed after an answer: a close over unread bytes would
+	// reset it and take the answers along that are on their way.
+	lingerTime  = 200 * time.Millisecond
+	lingerBytes = 256 << 10
 	// wordTime is how long a connection may take to send a whole message, and how
 	// long one that is owed no answer may go without any word of ours.
 	wordTime  = 2 * time.Second
 	idleTime  = 30 * time.Second // without a message, and with no set-up open
 	watchTime = 100 * time.Millisecond
-	// mostOpen is how many set-ups may be open on one connection.
-	mostOpen = 128
 )
 
+// DefaultOpen is how many set-ups may be open on one connection.
+const DefaultOpen = 128
+
 // Conn is one connection. Its owner reads; what is Put is written by an actor.
 type Conn struct {
 	net.Conn
 	Host   string // the address at the other end, without the port
+	log    *zap.Logger
 	out    *mailbox.Box[[]byte]
 	gone   chan struct{}
 	finish chan struct{}
+	unread chan struct{} // closed once nobody reads any more
 	bye    atomic.Pointer[[]byte]
 	once   sync.Once
 	ending sync.Once
 
+	waiting atomic.Int64  // bytes that were put and are not written
+	written chan struct{} // receives when some have been
+	paused  atomic.Bool   // the owner waits for that before it reads on
+
 	came  time.Time
 	begun atomic.Int64 // when the message under way began, after came; 0: none is
 	whole atomic.Int64 // when the last whole message had come, after came
@@ -48,14 +69,19 @@
 
 	mu   sync.Mutex
 	open map[uint64]struct{} // set-ups that are owed an answer
+	most int                 // of them at once
 }
 
-func newConn(nc net.Conn) *Conn {
+func newConn(nc net.Conn, open int, log *zap.Logger) *Conn {
 	host, _, _ := net.SplitHostPort(nc.RemoteAddr().String())
+	if open <= 0 {
+		open = DefaultOpen
+	}
 	c := &Conn{
-		Conn: nc, Host: host, out: mailbox.New[[]byte](outLimit),
-		gone: make(chan struct{}), finish: make(chan struct{}), came: time.Now(),
-		open: make(map[uint64]struct{}),
+		Conn: nc, Host: host, log: log, out: mailbox.New[[]byte](math.MaxInt), // bounded by waiting
+		gone: make(chan struct{}), finish: make(chan struct{}), unread: make(chan struct{}), came: time.Now(),
+		written: make(chan struct{}, 1),
+		open:    make(map[uint64]struct{}), most: open,
 	}
 	c.begun.Store(1)
 	return c
@@ -81,11 +107,39 @@
 	return n, err
 }
 
-// Opened counts a set-up as open until Answered. False: too many are.
+// Pace waits until the reader of what was Put has caught up. The owner calls it
+// before it reads on, so that what waits for a connection is bounded by what it
+// is sent, and not by what it sends. False: the connection is gone.
+func (c *Conn) Pace() bool {
+	if c.waiting.Load() <= paceBytes {
+		return true
+	}
+	c.paused.Store(true)
+	for c.waiting.Load() > paceBytes {
+		select {
+		case <-c.written:
+		case <-c.gone:
+			return false
+		}
+	}
+	if c.begun.Load() > 0 { // what is here already did not come slowly
+		c.begun.Store(int64(time.Since(c.came)) + 1)
+	}
+	c.paused.Store(false)
+	return true
+}
+
+// Opened counts a set-up as open until Answered. False: too many are, or the
+// connection is about to close and could not carry the answer.
 func (c *Conn) Opened(id uint64) bool {
+	select {
+	case <-c.finish:
+		return false
+	default:
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.open) >= mostOpen {
+	if len(c.open) >= c.most {
 		return false
 	}
 	c.open[id] = struct{}{}
@@ -117,6 +171,8 @@
 	age := now.Sub(c.came)
 	begun, whole := time.Duration(c.begun.Load()), time.Duration(c.whole.Load())
 	switch {
+	case c.paused.Load(): // nothing is read of it: the writer's time counts
+		return ""
 	case begun > 0 && age-begun > wordTime:
 		return "no whole message"
 	case c.owes():
@@ -138,14 +194,24 @@
 		return false
 	default:
 	}
-	if !c.out.Put(b) {
-		c.Close()
+	if n := c.waiting.Add(int64(len(b))); n > mostBytes {
+		c.slow("too much waits for it")
 		return false
 	}
 	c.told.Store(true)
+	c.out.Force(b)
 	return true
 }
 
+// slow closes the connection of a reader that does not keep up.
+func (c *Conn) slow(why string) {
+	c.once.Do(func() {
+		c.log.Info("connection closed: its reader is slow", zap.String("from", c.Host),
+			zap.String("why", why), zap.Int64("bytes_waiting", c.waiting.Load()))
+		c.end()
+	})
+}
+
 // Farewell sets what is written last when the program ends.
 func (c *Conn) Farewell(b []byte) { c.bye.Store(&b) }
 
@@ -154,16 +220,20 @@
 
 // Close ends the connection at once.
 func (c *Conn) Close() error {
-	c.once.Do(func() {
-		close(c.gone)
-		c.Conn.Close()
-	})
+	c.once.Do(c.end)
 	return nil
 }
 
+func (c *Conn) end() {
+	close(c.gone)
+	c.Conn.Close()
+}
+
+// write is the actor that writes what was Put.
 func (c *Conn) write(ctx context.Context) {
 	defer c.Close()
 	var batch [][]byte
+	var joined []byte
 	for last := false; !last; {
 		select {
 		case <-c.gone:
@@ -178,19 +248,64 @@
 		if ctx.Err() != nil {
 			last = true
 			if bye := c.bye.Load(); bye != nil {
+				c.waiting.Add(int64(len(*bye)))
 				batch = append(batch, *bye)
 			}
 		}
-		if len(batch) == 0 {
-			continue
+		joined = joined[:0]
+		for i, b := range batch {
+			joined = append(joined, b...)
+			if len(joined) < paceBytes && i < len(batch)-1 {
+				continue
+			}
+			if !c.flush(joined) {
+				return
+			}
+			joined = joined[:0]
 		}
+		if cap(joined) > 2*paceBytes {
+			joined = nil // one long burst is no reason to keep its room
+		}
+	}
+	c.linger()
+}
+
+// flush writes b in pieces, each within writeTime.
+func (c *Conn) flush(b []byte) bool {
+	for len(b) > 0 {
+		piece := b[:min(len(b), paceBytes)]
 		if err := c.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
-			return
+			return false
 		}
-		if _, err := c.Conn.Write(bytes.Join(batch, nil)); err != nil {
-			return
+		if _, err := c.Conn.Write(piece); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				c.slow("it took nothing in time")
+			}
+			return false
 		}
+		c.waiting.Add(-int64(len(piece)))
+		select {
+		case c.written <- struct{}{}:
+		default:
+		}
+		b = b[len(piece):]
+	}
+	return true
+}
+
+// linger closes for writing and reads on for a moment, so that the last answers
+// arrive. A connection that was told nothing has none.
+func (c *Conn) linger() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	select {
+	case <-c.unread:
+	default:
+		return // its owner reads still
+	}
+	if !ok || !c.told.Load() || half.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return
 	}
+	io.CopyN(io.Discard, c.Conn, lingerBytes)
 }
 
 // room is the connections that are open on one listener.
@@ -263,8 +378,9 @@
 }
 
 // Serve accepts until ctx ends, holds up to most connections at once, and
-// handles each until handle returns.
-func Serve(ctx context.Context, l net.Listener, most int, log *zap.Logger, handle func(context.Context, *Conn)) error {
+// handles each until handle returns. Each may have up to open set-ups open; 0
+// means DefaultOpen.
+func Serve(ctx context.Context, l net.Listener, most, open int, log *zap.Logger, handle func(context.Context, *Conn)) error {
 	group, ctx := errgroup.WithContext(ctx)
 	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
@@ -283,7 +399,7 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		c := newConn(nc)
+		c := newConn(nc, open, log)
 		// Guard: descriptors beyond the viewers' part are not held, and those who
 		// say nothing or stay for good lock nobody out.
 		if !r.enter(c) {
@@ -292,8 +408,10 @@
 		}
 		group.Go(func() error { c.write(ctx); return nil })
 		group.Go(func() error {
-			defer r.leave(c)
+			// It takes up its place until its last answers are out as well.
+			defer func() { <-c.gone; r.leave(c) }()
 			defer c.Finish()
+			defer close(c.unread)
 			defer func() {
 				// Guard: what one peer sends costs at most its connection.
 				if p := recover(); p != nil {
--- a/internal/front/peer/peer_test.go
+++ b/internal/front/peer/peer_test.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,7 +22,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
 	go func() {
-		done <- Serve(ctx, l, 2, zap.NewNop(), func(_ context.Context, c *Conn) { handle(c) })
+		done <- Serve(ctx, l, 2, 0, zap.NewNop(), func(_ context.Context, c *Conn) { handle(c) })
 	}()
 	t.Cleanup(func() {
 		cancel()
@@ -82,7 +85,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
 	go func() {
-		done <- Serve(ctx, l, 1, zap.NewNop(), func(_ context.Context, c *Conn) {
+		done <- Serve(ctx, l, 1, 0, zap.NewNop(), func(_ context.Context, c *Conn) {
 			c.Farewell([]byte("bye\n"))
 			ready <- c
 			c.Read(make([]byte, 1))
@@ -109,7 +112,7 @@
 // at makes a connection that is as old as age.
 func at(age time.Duration) *Conn {
 	near, _ := net.Pipe()
-	c := newConn(near)
+	c := newConn(near, 0, zap.NewNop())
 	c.came = time.Now().Add(-age)
 	return c
 }
@@ -166,15 +169,124 @@
 
 func TestMostOpen(t *testing.T) {
 	c := at(0)
-	for id := range uint64(mostOpen) {
+	for id := range uint64(DefaultOpen) {
 		if !c.Opened(id) {
 			t.Fatal(id)
 		}
 	}
-	if c.Opened(mostOpen) {
+	if c.Opened(DefaultOpen) {
 		t.Error("no limit")
 	}
-	if c.Answered(1); !c.Opened(mostOpen) {
+	if c.Answered(1); !c.Opened(DefaultOpen) {
 		t.Error("an answered set-up is still counted")
 	}
 }
+
+// piped runs a connection's writer at one end of a pipe, in a bubble's fake time.
+func piped(open int) (c *Conn, far net.Conn) {
+	near, far := net.Pipe()
+	c = newConn(near, open, zap.NewNop())
+	go c.write(context.Background())
+	return c, far
+}
+
+// A client that asks and never listens is no longer read from, and loses its
+// connection once the writer's time is up: not sooner, not later.
+func TestNeverListens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, far := piped(0)
+		defer far.Close()
+		start, most := time.Now(), int64(0)
+		for c.Pace() {
+			c.Put(make([]byte, 1000))
+			most = max(most, c.waiting.Load())
+		}
+		if took := time.Since(start); took != writeTime || most > paceBytes+1000 {
+			t.Errorf("closed after %v with %d bytes waiting", took, most)
+		}
+	})
+}
+
+// A slow reader that keeps up with the stated pace stays, gets all of it in
+// order, and is not blamed for what it sent and we did not read.
+func TestSlowReaderStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, far := piped(0)
+		c.Whole(true) // more has come than was read
+		const n = 600
+		go func() {
+			for i := range n {
+				if !c.Pace() || !c.Put([]byte(strings.Repeat(string(rune('a'+i%26)), 1000))) {
+					t.Error("closed at", i)
+					break
+				}
+				c.Whole(true)
+			}
+			close(c.unread)
+			c.Finish()
+		}()
+		go func() {
+			for range 100 {
+				time.Sleep(100 * time.Millisecond)
+				if why := c.overdue(time.Now()); why != "" && c.waiting.Load() > paceBytes {
+					t.Error("to be closed:", why)
+				}
+			}
+		}()
+		buf, got := make([]byte, 1000), 0
+		for {
+			if got%50 == 0 {
+				time.Sleep(900 * time.Millisecond)
+			}
+			if _, err := io.ReadFull(far, buf); err != nil {
+				break
+			}
+			if want := byte('a' + got%26); buf[0] != want || buf[999] != want {
+				t.Fatalf("%d: %c, want %c", got, buf[0], want)
+			}
+			got++
+		}
+		if got != n {
+			t.Errorf("%d of %d", got, n)
+		}
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// What others cause to be sent is bounded too.
+func TestTooMuchWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, far := piped(0)
+		defer far.Close()
+		n := 0
+		for c.Put(make([]byte, 1<<10)) {
+			n++
+		}
+		if n != mostBytes>>10 {
+			t.Errorf("%d KiB", n)
+		}
+	})
+}
+
+// A close over unread bytes must not take the last answer along.
+func TestLastAnswerArrives(t *testing.T) {
+	dial := serve(t, func(c *Conn) {
+		bufio.NewReader(c).ReadString('\n')
+		c.Put([]byte("last\n"))
+	})
+	c := dial()
+	c.Write(append([]byte("word\n"), make([]byte, lingerBytes/2)...))
+	got, err := io.ReadAll(c)
+	if string(got) != "last\n" || err != nil {
+		t.Errorf("%q, %v", got, err)
+	}
+}
+
+// A connection that is about to close takes no set-up that it can't answer.
+func TestNothingOpensAtTheEnd(t *testing.T) {
+	c := at(0)
+	c.Finish()
+	if c.Opened(1) {
+		t.Error("a set-up opened")
+	}
+}
--- a/internal/front/websocket/websocket.go
+++ b/internal/front/websocket/websocket.go
@@ -33,12 +33,13 @@
 	Path     string
 	Grace    time.Duration // for a player whose socket is lost to come back
 	MaxConns int
+	MostOpen int // set-ups on one socket; 0: peer.DefaultOpen
 	Log      *zap.Logger
 }
 
 // Serve accepts until ctx ends.
 func (f *Front) Serve(ctx context.Context, l net.Listener) error {
-	return peer.Serve(ctx, l, f.MaxConns, f.Log, func(_ context.Context, p *peer.Conn) {
+	return peer.Serve(ctx, l, f.MaxConns, f.MostOpen, f.Log, func(_ context.Context, p *peer.Conn) {
 		c := &conn{Conn: p, front: f, in: stream.NewReader(p, readSize)}
 		if !c.open() {
 			return
@@ -115,7 +116,7 @@
 // serve handles frames until the socket ends. A closeError is still to be sent.
 func (c *conn) serve() error {
 	var f frame
-	for {
+	for c.Pace() {
 		if err := c.SetReadDeadline(time.Now().Add(deadTime)); err != nil {
 			return err
 		}
@@ -133,6 +134,7 @@
 			return err
 		}
 	}
+	return net.ErrClosed
 }
 
 // frame takes one frame.
@@ -208,11 +210,12 @@
 	case err != nil && r.ID == 0:
 		return closeError(closeProtocol)
 	case err != nil:
-		c.Deliver(broker.Reply{Kind: broker.Failed, ID: r.ID, Cause: broker.CauseFailed})
+		c.Deliver(broker.Reply{Kind: broker.Failed, ID: r.ID, Cause: broker.CauseFailed, Reason: err.Error()})
 	case !c.Opened(uint64(r.ID)) || !c.front.Core.Submit(r):
 		// Guard: too many wait, on this socket or before the module. Nothing has
 		// been tried.
-		c.Deliver(broker.Reply{Kind: broker.Refused, ID: r.ID, Cause: broker.CauseRefused, Wait: time.Second})
+		c.Deliver(broker.Reply{Kind: broker.Refused, ID: r.ID, Cause: broker.CauseRefused,
+			Wait: time.Second, Reason: message.ReasonBusy})
 	}
 	return nil
 }
