Read the operator's file in a line-based form that tells all its faults at once

Need: every later part adds to the operator's file, and a faulty one was told as one JSON error without line or place.

Change: internal/conf reads keywords, arguments, blocks, quotes, continued lines and bounded includes, knows no keyword itself, and gives each fault its file, line, column, key, the line with a caret and the nearest known keyword. internal/config hands each block to one function; a subsystem adds a line to the list. config.Convert brings a JSON file over. A viewers block sets how many set-ups may be open on a connection and whether JSON-lines viewers are told why.

--- a/cmd/millethinge/burst_test.go
+++ b/cmd/millethinge/burst_test.go
@@ -80,7 +80,7 @@
 		return standin.Verdict{Status: 200}
 	}}, loopback(t)
 	go node.Serve(l)
-	return start(t, "127.0.0.1:1", member("s-0", l.Addr().String(), 0), 1, `{"websocket": {"listen": "127.0.0.1:0"}}`)
+	return start(t, "127.0.0.1:1", member("s-0", l.Addr().String(), 0), 1, "websocket {\n listen 127.0.0.1:0\n}")
 }
 
 func burstLine(n int, player bool) string {
--- a/cmd/millethinge/discovery_test.go
+++ b/cmd/millethinge/discovery_test.go
@@ -29,7 +29,7 @@
 		dns.Record{Name: name, Type: dns.TypeTXT, TTL: 60, Text: []string{"zone=east", "kind=std", "cell=0"}},
 		dns.Record{Name: "h.example", Type: dns.TypeA, TTL: 60, Addr: netip.MustParseAddr("127.0.0.1")})
 	go server.Serve(udp, loopback(t))
-	p := start(t, "127.0.0.1:1", "", 2, fmt.Sprintf(`{"dns_sd": {"server": %q, "service": %q}}`, udp.LocalAddr(), service))
+	p := start(t, "127.0.0.1:1", "", 2, fmt.Sprintf("dns-sd {\n server %s\n service %s\n}", udp.LocalAddr(), service))
 	s := speak(t, p, false)
 	for n, until := 1, time.Now().Add(patience); ; n++ {
 		if err := s.say(setUpLine(n)); err != nil {
--- a/cmd/millethinge/exchange_test.go
+++ b/cmd/millethinge/exchange_test.go
@@ -53,7 +53,7 @@
 	t.Helper()
 	cfg, err := config.Parse(fmt.Appendf(nil, platform, coordinator, members, cells))
 	if err == nil && operator != "" {
-		cfg.Operator, err = config.ParseOperator([]byte(operator), cfg.Classes)
+		cfg.Operator, err = config.ParseOperator("operator", []byte(operator), nil, cfg.Deployment())
 	}
 	if err != nil {
 		t.Fatal(err)
@@ -146,7 +146,7 @@
 			operator = append(operator, rest)
 			continue
 		case p == nil:
-			p = start(t, servers["k"].Addr().String(), strings.Join(members, ","), 4, strings.Join(operator, " "))
+			p = start(t, servers["k"].Addr().String(), strings.Join(members, ","), 4, strings.Join(operator, "\n"))
 		}
 		switch {
 		case word == "sigterm":
--- a/cmd/millethinge/mixed_test.go
+++ b/cmd/millethinge/mixed_test.go
@@ -190,7 +190,7 @@
 		members = append(members, member(fmt.Sprint("s-", cells), addr, cells), member(fmt.Sprint("s-", cells+1), second, cells+1))
 		cells += 2
 	}
-	p := start(t, "127.0.0.1:1", strings.Join(members, ","), cells, `{"websocket": {"listen": "127.0.0.1:0"}}`)
+	p := start(t, "127.0.0.1:1", strings.Join(members, ","), cells, "websocket {\n listen 127.0.0.1:0\n}")
 
 	out := outcome{told: make(map[int]string)}
 	var mu sync.Mutex
--- /dev/null
+++ b/internal/conf/conf_test.go
@@ -0,0 +1,154 @@
+package conf
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"strings"
+	"testing"
+)
+
+// show writes directives as they were understood.
+func show(list []*Directive) string {
+	var b strings.Builder
+	for _, d := range list {
+		for _, w := range d.words {
+			fmt.Fprintf(&b, "<%s>", w.value)
+		}
+		if d.opened {
+			b.WriteString("{" + show(d.block) + "}")
+		}
+		b.WriteString(";")
+	}
+	return b.String()
+}
+
+func TestParse(t *testing.T) {
+	files := map[string]string{
+		"dir/a.conf":     "one\ninclude sub/b.conf\n",
+		"dir/sub/b.conf": "include ../c.conf # here\n",
+		"dir/c.conf":     "three",
+		"dir/self.conf":  "include x/../self.conf",
+		"dir/bad.conf":   "include none.conf\nx \"",
+	}
+	for i := range maxIncludes + 3 {
+		files[fmt.Sprintf("dir/deep%d", i)] = fmt.Sprintf("include deep%d", i+1)
+	}
+	open := func(path string) ([]byte, error) {
+		if text, ok := files[path]; ok {
+			return []byte(text), nil
+		}
+		return nil, fmt.Errorf("%s: %w", path, fs.ErrNotExist)
+	}
+	for _, e := range []struct{ text, want, fault string }{
+		{"", "", ""},
+		{"# only\n\n   \t\r\n", "", ""},
+		{"a b c\r\nd", "<a><b><c>;<d>;", ""},
+		{"a \\\n  b \\\r\n c # d\ne", "<a><b><c>;<e>;", ""},
+		{"a \"b c\" `d\\n` x\"y z\"w\"\" \"\"", "<a><b c><d\\n><xy zw><>;", ""},
+		{`a "\"\\\n\t\r\x41"`, "<a><\"\\\n\t\rA>;", ""},
+		{"a#b c", "<a#b><c>;", ""},
+		{"a {\n b {\n c\n }\n}\nd {\n}", "<a>{<b>{<c>;};};<d>{};", ""},
+		{`a "{" "}"`, "<a><{><}>;", ""},
+		{"include a.conf", "<one>;<three>;", ""},
+		{"x\n}\ny", "<x>;<y>;", "main:2:1: } ends no block\n    }\n    ^"},
+		{"x {\n y", "<x>{<y>;};", "main:1:1: x: the block that begins here has no end"},
+		{"{\n}", "<{>{};", "{ has no keyword"},
+		{"a \"b\nc", "<c>;", "main:1:3: the quote that begins here has no end"},
+		{`a "\q"`, "", `main:1:4: \q stands for nothing`},
+		{`a "\xg1"`, "", `\x wants two`},
+		{"a \xff", "", "not UTF-8"},
+		{"a \"\xff\"", "", "not UTF-8"},
+		{"a \x00", "", "control character (0x00)"},
+		{"\tä b \x01", "", "main:1:6: a control"},
+		{"a " + strings.Repeat("x ", maxArguments+1) + "\nb", "<b>;", "more than"},
+		{"a \"" + strings.Repeat("x", maxLine) + "\" y\nb", "<b>;", "more than"},
+		{strings.Repeat("a {\n", 40) + strings.Repeat("}\n", 40) + "b", "", "nested more than 16 deep"},
+		{"include none.conf", "", "include: dir/none.conf: file does not exist"},
+		{"include", "", "main:1:8: include: wants a file"},
+		{"include a.conf b", "", "too many arguments"},
+		{"include self.conf", "", "includes itself: dir/main > dir/self.conf > dir/self.conf"},
+		{"include deep0", "", "more than 8 deep"},
+		{"include bad.conf", "", "dir/bad.conf:2:3:"},
+	} {
+		faults := new(Faults)
+		got := show(Parse("dir/main", []byte(e.text), open, faults))
+		err := faults.Err()
+		if e.want != "" && got != e.want || (err == nil) != (e.fault == "") ||
+			err != nil && !strings.Contains(strings.ReplaceAll(err.Error(), "dir/main:", "main:"), e.fault) {
+			t.Errorf("%.60q: got %.200s, %.300v", e.text, got, err)
+		}
+	}
+	if Parse("x", []byte("include a.conf"), nil, new(Faults)) != nil {
+		t.Error("included from nowhere")
+	}
+}
+
+// All that is wrong is told at once, in the order of the lines, but not without end.
+func TestAllFaultsAtOnce(t *testing.T) {
+	faults := new(Faults)
+	list := Parse("f", []byte("nme a\nsize many\nsize\n\"x\n"), nil, faults)
+	Read(list, nil, faults, []Key{
+		{Name: "name", Read: func(d *Directive) { d.Word("a name") }},
+		{Name: "size", Many: true, Read: func(d *Directive) { d.Int("a size", 1, 9) }},
+	})
+	var places []string
+	for _, f := range faults.List() {
+		places = append(places, fmt.Sprintf("%d:%d", f.Line, f.Col))
+	}
+	if got := strings.Join(places, " "); got != "1:1 2:6 3:5 4:1" {
+		t.Errorf("%s\n%v", got, faults)
+	}
+	faults = new(Faults)
+	Read(Parse("f", []byte(strings.Repeat("x\n", 1000)), nil, faults), nil, faults, nil)
+	if n := strings.Count(faults.Error(), "unknown keyword"); n != mostFaults || !strings.HasSuffix(faults.Error(), "900 more faults") {
+		t.Errorf("%d faults told", n)
+	}
+	var err *Faults
+	if !errors.As(faults.Err(), &err) || new(Faults).Err() != nil {
+		t.Error("Err")
+	}
+}
+
+// A caret stands under its character, whatever is before it.
+func TestCaret(t *testing.T) {
+	for text, want := range map[string]string{
+		"\tsize äö x": "\tsize äö x\n    \t        ^",
+		strings.Repeat("ä", 500) + " x" + "yyyyy": strings.Repeat("ä", 79) + " xyyyyy\n    " + strings.Repeat(" ", 80) + "^",
+	} {
+		f := Fault{File: "f", Line: 1, Col: len([]rune(text[:strings.IndexByte(text, 'x')])) + 1, Text: text, Msg: "m"}
+		if got := f.Error(); !strings.HasSuffix(got, "\n    "+want) {
+			t.Errorf("got\n%s\nwant\n%s", got, want)
+		}
+	}
+}
+
+func TestNearest(t *testing.T) {
+	known := []string{"listen", "path", "grace", "open-per-connection"}
+	for word, want := range map[string]string{"lisen": "listen", "LISTEN": "listen", "grcae": "grace", "pth": "path",
+		"open_per_connection": "open-per-connection", "xyz": "", "": "", "websocket": ""} {
+		if got := Nearest(word, known); got != want {
+			t.Errorf("%s: %q, want %q", word, got, want)
+		}
+	}
+}
+
+// Whatever bytes come, faults have a place within the text, and parsing ends.
+func FuzzParse(f *testing.F) {
+	for _, s := range []string{"a {\n b \"c\\x41\" `d`\n}\n", "include x", "a \\\n b", "}{\"", "\xff\x00"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		faults := new(Faults)
+		list := Parse("f", []byte(text), func(string) ([]byte, error) { return []byte(text), nil }, faults)
+		Read(list, nil, faults, []Key{{Name: "a", Many: true, Read: func(d *Directive) {
+			d.Block(Key{Name: "b", Read: func(d *Directive) { d.Rest() }})
+		}}})
+		for _, one := range faults.List() {
+			if one.Line < 1 || one.Line > strings.Count(text, "\n")+1 || one.Col < 1 || one.Col > len(one.Text)+1 {
+				t.Errorf("%q: fault at %d:%d of %q", text, one.Line, one.Col, one.Text)
+			}
+			_ = one.Error()
+		}
+	})
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -1,6 +1,7 @@
 // Package config is the one place where configuration is read, checked and
-// given defaults: the environment, the platform's JSON and the operator's JSON
-// file. Errors name the key at fault.
+// given defaults: the environment, the platform's JSON and the operator's
+// file. Errors name the key at fault; those of the operator's file also the line
+// and column, and all of them are told at once.
 package config
 
 import (
@@ -39,7 +40,7 @@
 	drainStay          = 600 * time.Millisecond // beyond the longest deadline
 	drainMostGiveUp    = 3 * time.Second
 	leastSockets       = 32
-	operatorFile       = "deploy/operator.json" // read if it is there
+	operatorFile       = "deploy/operator.conf" // read if it is there
 	platformFile       = "the platform's configuration"
 	viewersPart        = 3 // viewers may hold one part in so many of the descriptors
 	descriptorsForSelf = 24
@@ -103,19 +104,20 @@
 	if path == "" {
 		path, given = operatorFile, false
 	}
-	text, err = os.ReadFile(path)
+	text, err = readBounded(path)
 	if os.IsNotExist(err) && !given {
 		return c, nil
 	}
 	if err != nil {
 		return c, fmt.Errorf("%s: %w", envOperator, err)
 	}
-	if c.Operator, err = ParseOperator(text, c.Classes); err != nil {
-		return c, fmt.Errorf("%s: %w", path, err)
-	}
-	return c, nil
+	c.Operator, err = ParseOperator(path, text, readBounded, c.Deployment())
+	return c, err
 }
 
+// Deployment is what the operator's file may refer to.
+func (c *Config) Deployment() Deployment { return Deployment{Classes: c.Classes} }
+
 // Parse reads the platform's JSON.
 func Parse(text []byte) (Config, error) {
 	var raw struct {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -51,37 +52,77 @@
 	}
 }
 
-func TestOperatorFile(t *testing.T) {
-	text, err := os.ReadFile("../../deploy/operator.example.json")
+var deployment = Deployment{Classes: []string{"clip", "feed"}}
+
+func operatorExample(t *testing.T) string {
+	t.Helper()
+	text, err := os.ReadFile("../../deploy/operator.example.conf")
 	if err != nil {
 		t.Fatal(err)
 	}
-	classes := []string{"clip", "feed"}
-	o, err := ParseOperator(text, classes)
+	return string(text)
+}
+
+func TestOperatorFile(t *testing.T) {
+	text := operatorExample(t)
+	o, err := ParseOperator("op", []byte(text), nil, deployment)
 	if err != nil || o.WebSocket.Grace != 3*time.Second || len(o.Teams) != 2 || o.Teams[0].Classes[0] || !o.Teams[0].Classes[1] ||
-		o.Teams[1].SetUps != 4000 || o.Teams[1].Period != time.Hour || o.DNSSD.Service == "" {
+		o.Teams[1].SetUps != 4000 || o.Teams[1].Period != time.Hour || o.DNSSD.Service == "" || o.Viewers.MostOpen != 512 || !o.Viewers.Reasons {
 		t.Errorf("%+v, %v", o, err)
 	}
 	for _, e := range [][3]string{
-		{`127.0.0.1:5080`, `x`, "websocket.listen"},
-		{`3000`, `-1`, "websocket.grace_ms"},
-		{`"clips"`, `"attendants"`, "teams[1].name"},
-		{`["feed"]`, `["x"]`, "teams[0].contract.classes"},
-		{`"sessions_per_s": 2`, `"sessions_per_s": -2`, "teams[1].contract.sessions_per_s"},
-		{`"standing": 200`, `"standing": -1`, "teams[0].contract.standing"},
-		{`"period_s": 3600`, `"period_s": -1`, "teams[0].budget.period_s"},
-		{`4000`, `-1`, "teams[1].budget.billed_setups"},
-		{`500}`, `-1}`, "teams[0].budget.further_attempts"},
-		{`127.0.0.1:5353`, `x`, "dns_sd.server"},
-		{`_rtsp._tcp.media.example`, ``, "dns_sd.service"},
-		{`"dns_sd"`, `"dns"`, `"dns"`},
+		{`127.0.0.1:5080`, `x`, `websocket.listen: "x" is no address`},
+		{`grace  3s`, `grace -1s`, `websocket.grace: "-1s" is not from 1ms`},
+		{`grace  3s`, `grace 3`, `websocket.grace: "3" is no duration`},
+		{`/sessions`, `sessions`, `websocket.path: "sessions" does not begin with /`},
+		{`listen 127.0.0.1:5080`, ``, `websocket: listen is missing`},
+		{`team clips`, `team attendants`, `team: "attendants" is used twice`},
+		{`classes  feed`, `classes  fed`, `team.attendants.classes: "fed" is not a class of this deployment; did you mean "feed"?`},
+		{`rate     2`, `rate -2`, `team.clips.rate: "-2" is not from 0`},
+		{`standing 200`, `standing -1`, `team.attendants.standing: "-1" is not from 0`},
+		{`standing 200`, `standing`, `team.attendants.standing: wants a number`},
+		{`standing 200`, `standing 200 300`, `team.attendants.standing: too many arguments`},
+		{`standing 200`, `standing 200 {` + "\n}", `team.attendants.standing: takes no block`},
+		{`rate     5`, `standing 5`, `team.attendants.standing: stands twice; it was first on line 18 of op`},
+		{`4000`, `4e3`, `team.clips.billed-setups: "4e3" is no whole number`},
+		{`127.0.0.1:5353`, `x:y`, `dns-sd.server`},
+		{`service _rtsp._tcp.media.example`, `service ""`, `dns-sd.service: the name is empty`},
+		{`dns-sd`, `dns_sd`, `unknown keyword "dns_sd"; did you mean "dns-sd"?`},
+		{`reasons on`, `reasons yes`, `viewers.reasons: "yes" is not on or off`},
+		{`open-per-connection 512`, `open-per-connection 0`, `viewers.open-per-connection: "0" is not from 1`},
 	} {
-		if _, err := ParseOperator([]byte(strings.Replace(string(text), e[0], e[1], 1)), classes); err == nil || !strings.Contains(err.Error(), e[2]) {
+		if !strings.Contains(text, e[0]) {
+			t.Errorf("the example has no %q", e[0])
+		}
+		if _, err := ParseOperator("op", []byte(strings.Replace(text, e[0], e[1], 1)), nil, deployment); err == nil || !strings.Contains(err.Error(), e[2]) {
 			t.Errorf("%s: %v", e[2], err)
 		}
 	}
 }
 
+// A file of the older form comes over whole, also with odd names.
+func TestConvert(t *testing.T) {
+	old := `{"websocket": {"listen": "127.0.0.1:5080", "path": "/s", "grace_ms": 1500},
+		"teams": [{"name": "a \"b\" #1", "contract": {"classes": ["feed"], "sessions_per_s": 0.5, "standing": 2}, "budget": {"period_s": 90, "billed_setups": 3, "further_attempts": 4}},
+			{"name": "{", "contract": {}, "budget": {}}],
+		"dns_sd": {"server": "127.0.0.1:53", "service": "_x._tcp"}}`
+	text, err := Convert([]byte(old))
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := ParseOperator("op", text, nil, deployment)
+	want := broker.Team{Name: `a "b" #1`, Classes: []bool{false, true}, Rate: 0.5, Standing: 2, SetUps: 3, Extra: 4, Period: 90 * time.Second}
+	if err != nil || len(o.Teams) != 2 || !reflect.DeepEqual(o.Teams[0], want) || o.Teams[1].Name != "{" ||
+		*o.WebSocket != (WebSocket{"127.0.0.1:5080", "/s", 1500 * time.Millisecond}) || *o.DNSSD != (DNSSD{"127.0.0.1:53", "_x._tcp"}) {
+		t.Errorf("%+v, %v\n%s", o, err, text)
+	}
+	for _, bad := range []string{"", "{", "{} {}", `{"team": []}`} {
+		if _, err := Convert([]byte(bad)); err == nil {
+			t.Errorf("no error for %q", bad)
+		}
+	}
+}
+
 func TestLoad(t *testing.T) {
 	dir := t.TempDir()
 	env := map[string]string{"BALANCER_CONFIG": filepath.Join(dir, "config.json")}
@@ -96,7 +137,7 @@
 	if c, err := load(); err != nil || c.Name != "n7" || c.Listen != "127.0.0.1:1" || c.Operator.WebSocket != nil {
 		t.Errorf("%+v, %v", c, err)
 	}
-	env["MILLETHINGE_OPERATOR"] = filepath.Join(dir, "none.json")
+	env["MILLETHINGE_OPERATOR"] = filepath.Join(dir, "none.conf")
 	if _, err := load(); err == nil || !strings.Contains(err.Error(), "MILLETHINGE_OPERATOR") {
 		t.Error(err)
 	}
