Give operators a command line, and the assembly of parts a home of its own

Need: operators could only start the program and read its log; a faulty configuration was found at the start, one fault at a time. The assembly stood in cmd, which should only read arguments.

Without arguments, as the platform starts it, nothing of the command line is built. The platform's configuration tells all its faults, not only the first.

--- /dev/null
+++ b/cmd/millethinge/command.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"runtime"
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
+
+	"millethinge/internal/config"
+)
+
+// cli is the command line. Each command has a Run method in a file of its own,
+// but for the small ones here.
+type cli struct {
+	LogLevel  string `enum:"debug,info,warn,error" default:"info" help:"Least level that is logged: ${enum}."`
+	LogFormat string `enum:"json,console" default:"json" help:"Form of the log on standard error: ${enum}."`
+	Platform  string `type:"path" placeholder:"FILE" help:"The platform's configuration (default: $$BALANCER_CONFIG)."`
+	Operator  string `type:"path" placeholder:"FILE" help:"The operator's file (default: $$MILLETHINGE_OPERATOR, then deploy/operator.conf if it is there)."`
+
+	Serve      serveCmd      `cmd:"" default:"1" help:"Run the session manager. This is what runs without arguments."`
+	Check      checkCmd      `cmd:"" help:"Read the whole configuration and tell all that is wrong with it."`
+	Convert    convertCmd    `cmd:"" help:"Bring an operator's file of the older JSON form into the present one."`
+	Version    versionCmd    `cmd:"" help:"Print the version."`
+	Completion completionCmd `cmd:"" help:"Print a script that completes commands and flags in a shell."`
+}
+
+const description = `A session manager: it decides which media node plays each session and at which rung, sets it up there, and answers the viewer.
+
+Examples:
+  millethinge                                    run it, as the platform does
+  millethinge --platform config.json serve       run it with this configuration
+  millethinge --operator op.conf check           check an operator's file
+  millethinge convert operator.json > operator.conf
+  source <(millethinge completion bash)`
+
+// status ends a command with an exit status and no further message.
+type status int
+
+func (s status) Error() string { return fmt.Sprintf("exit status %d", int(s)) }
+
+// parser builds the command line, whose commands use a.
+func (a *app) parser(c *cli, exit func(int)) (*kong.Kong, error) {
+	return kong.New(c, kong.Name("millethinge"), kong.Description(description),
+		kong.Writers(a.out, a.err), kong.Exit(exit), kong.Bind(a, c),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
+}
+
+// command runs what the arguments ask for and returns the exit status.
+func (a *app) command(args []string) (code int) {
+	var c cli
+	type exited struct{ code int }
+	defer func() {
+		switch e := recover().(type) {
+		case nil:
+		case exited: // kong has printed its help
+			code = e.code
+		default:
+			panic(e)
+		}
+	}()
+	k, err := a.parser(&c, func(code int) { panic(exited{code}) })
+	if err != nil {
+		fmt.Fprintf(a.err, "millethinge: %v\n", err)
+		return statusUsage
+	}
+	ctx, err := k.Parse(args)
+	if err != nil {
+		fmt.Fprintf(a.err, "millethinge: %v\n", err)
+		return statusUsage
+	}
+	// The flags stand for the environment that configuration is read from.
+	env := a.getenv
+	a.getenv = func(name string) string {
+		switch {
+		case name == config.EnvConfig && c.Platform != "":
+			return c.Platform
+		case name == config.EnvOperator && c.Operator != "":
+			return c.Operator
+		}
+		return env(name)
+	}
+	err = ctx.Run()
+	if ended := status(0); errors.As(err, &ended) {
+		return int(ended)
+	}
+	if err != nil {
+		fmt.Fprintf(a.err, "millethinge: %v\n", err)
+		return statusFailed
+	}
+	return statusOK
+}
+
+type serveCmd struct{}
+
+func (serveCmd) Run(a *app, c *cli) error {
+	if code := a.serve(logging{c.LogLevel, c.LogFormat}); code != statusOK {
+		return status(code)
+	}
+	return nil
+}
+
+type checkCmd struct{}
+
+func (checkCmd) Run(a *app) error {
+	cfg, err := config.Load(a.getenv)
+	if err != nil {
+		fmt.Fprintln(a.err, err)
+		return status(statusFailed)
+	}
+	for _, w := range cfg.Operator.Warnings {
+		fmt.Fprintln(a.err, "warning:", w)
+	}
+	fmt.Fprintln(a.out, cfg.Summary())
+	return nil
+}
+
+type convertCmd struct {
+	File string `arg:"" type:"existingfile" help:"The JSON file."`
+}
+
+func (v convertCmd) Run(a *app) error {
+	text, err := os.ReadFile(v.File)
+	if err != nil {
+		return err
+	}
+	out, err := config.Convert(text)
+	if err != nil {
+		return fmt.Errorf("%s: %w", v.File, err)
+	}
+	_, err = a.out.Write(out)
+	return err
+}
+
+type versionCmd struct{}
+
+func (versionCmd) Run(a *app) error {
+	version, revision := "(devel)", "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				revision = s.Value
+			}
+		}
+	}
+	_, err := fmt.Fprintf(a.out, "millethinge %s (revision %s, %s %s/%s)\n", version, revision, runtime.Version(), runtime.GOOS, runtime.GOARCH)
+	return err
+}
--- /dev/null
+++ b/cmd/millethinge/command_test.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// try runs a command line and returns its status and what it printed.
+func try(t *testing.T, env map[string]string, in string, args ...string) (int, string, string) {
+	t.Helper()
+	var out, errs bytes.Buffer
+	a := &app{func(k string) string { return env[k] }, strings.NewReader(in), &out, &errs}
+	return a.command(args), out.String(), errs.String()
+}
+
+// written is a file of a test's own.
+func written(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+const exampleConfig = "../../example/config.json"
+
+func TestCheck(t *testing.T) {
+	env := map[string]string{"BALANCER_CONFIG": exampleConfig}
+	if code, out, errs := try(t, env, "", "check", "--operator", "../../deploy/operator.example.conf"); code != 0 || !strings.Contains(out, "2 teams") || errs != "" {
+		t.Errorf("%d, %s, %s", code, out, errs)
+	}
+	bad := written(t, "op.conf", "websocket {\n    listen here\n    grcae 3s\n}\nteam x {\n    classes none\n}\n")
+	code, out, errs := try(t, env, "", "check", "--operator", bad)
+	if code != statusFailed || out != "" {
+		t.Errorf("%d, %s", code, out)
+	}
+	for _, want := range []string{bad + `:2:12: websocket.listen: "here" is no address`, bad + `:3:5: websocket.grcae: unknown keyword "grcae"; did you mean "grace"?`,
+		"    grcae 3s\n        ^", bad + `:6:13: team.x.classes: "none" is not a class`} {
+		if !strings.Contains(errs, want) {
+			t.Errorf("no %q in\n%s", want, errs)
+		}
+	}
+	// Of the platform's file, too, all faults are told.
+	text, err := os.ReadFile(exampleConfig)
+	if err != nil {
+		t.Fatal(err)
+	}
+	broken := written(t, "c.json", strings.NewReplacer(`"8c1f30d27a5be964"`, `"seed!"`, `"at_most_once"`, `"odd"`).Replace(string(text)))
+	if code, _, errs := try(t, nil, "", "--platform", broken, "check"); code != statusFailed || !strings.Contains(errs, "seed") || !strings.Contains(errs, `effect "odd"`) {
+		t.Errorf("%d, %s", code, errs)
+	}
+	if code, _, errs := try(t, nil, "", "check"); code != statusFailed || !strings.Contains(errs, "BALANCER_CONFIG: not set") {
+		t.Errorf("%d, %s", code, errs)
+	}
+}
+
+func TestConvertCommand(t *testing.T) {
+	if code, out, errs := try(t, nil, "", "convert", written(t, "o.json", `{"teams": [{"name": "a"}]}`)); code != 0 || out != "team a {\n}\n" || errs != "" {
+		t.Errorf("%d, %q, %s", code, out, errs)
+	}
+	if code, _, errs := try(t, nil, "", "convert", written(t, "o.json", `{"team": 1}`)); code != statusFailed || !strings.Contains(errs, `"team"`) {
+		t.Errorf("%d, %s", code, errs)
+	}
+}
+
+func TestUsage(t *testing.T) {
+	for _, e := range []struct {
+		args string
+		code int
+		want string
+	}{
+		{"--help", 0, "Examples:"},
+		{"check --help", 0, "tell all that is wrong"},
+		{"version", 0, "millethinge "},
+		{"chek", statusUsage, `did you mean "check"?`},
+		{"convert", statusUsage, "<file>"},
+		{"--log-level loud", statusUsage, "--log-level"},
+		{"--log-format xml serve", statusUsage, "--log-format"},
+		{"serve", statusUsage, "BALANCER_CONFIG: not set"},
+		{"completion tcsh", statusUsage, "bash"},
+		{"completion zsh", 0, "bashcompinit"},
+		{"completion fish", 0, "complete -c millethinge"},
+	} {
+		code, out, errs := try(t, nil, "", strings.Fields(e.args)...)
+		if code != e.code || !strings.Contains(out+errs, e.want) {
+			t.Errorf("%s: %d, %s%s", e.args, code, out, errs)
+		}
+	}
+}
+
+// The shell's script offers the commands, and their own words after them.
+func TestCompletion(t *testing.T) {
+	bash, err := exec.LookPath("bash")
+	if err != nil {
+		t.Skip("no bash")
+	}
+	_, script, _ := try(t, nil, "", "completion", "bash")
+	for words, want := range map[string]string{"ch": "check", "completion z": "zsh", "check --oper": "--operator"} {
+		fields := append([]string{"millethinge"}, strings.Fields(words)...)
+		cmd := exec.Command(bash, "--norc", "-c", script+"\nCOMP_WORDS=("+strings.Join(fields, " ")+"); COMP_CWORD=$((${#COMP_WORDS[@]}-1)); _millethinge; echo ${COMPREPLY[@]}")
+		if out, err := cmd.CombinedOutput(); err != nil || strings.TrimSpace(string(out)) != want {
+			t.Errorf("%s: %q, %v", words, out, err)
+		}
+	}
+}
+
+// A level that is asked for is the least one logged.
+func TestLogger(t *testing.T) {
+	for level, enabled := range map[string]bool{"": true, "info": true, "warn": false} {
+		log, err := logging{level: level, format: "console"}.logger()
+		if err != nil || log.Core().Enabled(0) != enabled {
+			t.Errorf("%q: %v", level, err)
+		}
+	}
+	if _, err := (logging{level: "loud"}).logger(); err == nil {
+		t.Error("no error")
+	}
+}
--- a/cmd/millethinge/main.go
+++ b/cmd/millethinge/main.go
@@ -1,177 +1,92 @@
-// Command millethinge is the session manager: it wires the fronts, the broker,
-// the media nodes and the list together, and ends them on a signal.
+// Command millethinge is the session manager, with the tools of those who run it.
 package main
 
 import (
-	"context"
 	"fmt"
+	"io"
 	"math"
-	"net"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
-	"millethinge/internal/broker"
 	"millethinge/internal/config"
-	"millethinge/internal/directory"
-	"millethinge/internal/front/jsonl"
-	"millethinge/internal/front/message"
-	"millethinge/internal/front/websocket"
-	"millethinge/internal/media"
+	"millethinge/internal/server"
 )
 
+// Exit statuses.
+const (
+	statusOK     = 0
+	statusFailed = 1 // it ran and failed, or what was checked is bad
+	statusUsage  = 2 // it could not begin: bad arguments, or configuration
+)
+
+// app is the process as the commands see it.
+type app struct {
+	getenv   func(string) string
+	in       io.Reader
+	out, err io.Writer
+}
+
 func main() {
-	cfg, err := config.Load(os.Getenv)
+	a := &app{os.Getenv, os.Stdin, os.Stdout, os.Stderr}
+	if len(os.Args) == 1 {
+		// As the platform starts it: nothing of the command line is built.
+		os.Exit(a.serve(logging{}))
+	}
+	os.Exit(a.command(os.Args[1:]))
+}
+
+// serve runs the session manager until a signal ends it.
+func (a *app) serve(l logging) int {
+	cfg, err := config.Load(a.getenv)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "millethinge:", err)
-		os.Exit(2)
+		fmt.Fprintf(a.err, "millethinge: %v\n", err)
+		return statusUsage
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Round(cfg.Cores))))
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
-	log, err := zap.NewProduction(zap.WithCaller(false))
+	log, err := l.logger()
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "millethinge:", err)
-		os.Exit(1)
+		fmt.Fprintf(a.err, "millethinge: %v\n", err)
+		return statusUsage
 	}
 	log = log.With(zap.String("name", cfg.Name))
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	reload := func() (config.Config, error) { return config.Load(os.Getenv) }
-	at, err := listen(cfg)
+	reload := func() (config.Config, error) { return config.Load(a.getenv) }
+	at, err := server.Listen(cfg)
 	if err == nil {
-		err = run(cfg, at, signals, reload, log)
+		err = server.Run(cfg, at, signals, reload, log)
 	}
 	if err != nil {
 		log.Error("ended", zap.Error(err))
-		os.Exit(1)
+		return statusFailed
 	}
+	return statusOK
 }
 
-// listeners are the fronts' sockets.
-type listeners struct{ viewers, players net.Listener }
-
-func listen(cfg config.Config) (at listeners, err error) {
-	if at.viewers, err = net.Listen("tcp", cfg.Listen); err != nil {
-		return at, err
-	}
-	if w := cfg.Operator.WebSocket; w != nil {
-		at.players, err = net.Listen("tcp", w.Listen)
-	}
-	return at, err
-}
-
-// run serves until a signal ends it and all that was taken is answered. SIGHUP
-// has it follow the coordinator that reload names.
-func run(cfg config.Config, at listeners, signals <-chan os.Signal,
-	reload func() (config.Config, error), log *zap.Logger) error {
-	root, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	group, ctx := errgroup.WithContext(root)
-
-	// The broker and the nodes know each other; the broker does nothing before
-	// it runs, so its nodes may be made first.
-	var core *broker.Broker
-	pool := media.NewPool(ctx, group, media.Config{
-		Classes: cfg.Classes, Fields: cfg.Settings.Fields,
-		ConnectTimeout: cfg.ConnectTimeout, ConnIdle: cfg.ConnIdle,
-		StreamsPerConn: cfg.StreamsPerConn, MaxConns: cfg.NodeConns(),
-		Report: func(r broker.Report) { core.Report(r) }, Log: log,
-	})
-	core, err := broker.New(broker.Config{
-		Settings: cfg.Settings, Seed: cfg.Seed, MemoryMB: cfg.MemoryMB, Drain: cfg.Drain, Teams: cfg.Operator.Teams, Nodes: pool, Log: log,
-	})
-	if err != nil {
-		return err
-	}
-	nodes := directory.NewList(func(c directory.Change) {
-		pool.Apply(c) // first: a drain binds what is queued at once
-		core.List(list(c))
-	})
-	coordinator := directory.NewCoordinator(cfg.Known, cfg.Names, nodes.Source("coordinator"), log)
-	coordinator.Follow(cfg.Coordinator)
-	nodes.Settle()
-	if d := cfg.Operator.DNSSD; d != nil {
-		discovery := &directory.DNSSD{
-			Server: d.Server, Service: d.Service, Names: cfg.Names, Log: log, Sink: nodes.Source("dns-sd"),
-		}
-		group.Go(func() error { return discovery.Run(ctx) })
-	}
+// logging is how the log is written. The zero value is the platform's.
+type logging struct{ level, format string }
 
-	teams := cfg.Tenants
-	for _, t := range cfg.Operator.Teams {
-		teams = append(teams, t.Name)
-	}
-	catalog := message.Catalog{
-		Classes: cfg.Classes, Teams: teams,
-		Cells: cfg.Settings.Cells, MaxRung: len(cfg.Settings.RatesKB) - 1, MostLeft: cfg.MostLeft,
+// logger writes to standard error. Of equal lines in a second only the first
+// hundred and each hundredth more are written, so that a storm of them can't
+// fill a disk.
+func (l logging) logger() (*zap.Logger, error) {
+	c := zap.NewProductionConfig() // this has the sampling
+	if l.format == "console" {
+		c.Encoding = "console"
+		c.EncoderConfig = zap.NewDevelopmentEncoderConfig()
 	}
-	front := &jsonl.Front{Core: core, Catalog: catalog, MaxConns: cfg.ViewerConns(), Log: log}
-	if w := cfg.Operator.WebSocket; w != nil {
-		// Both fronts share what viewers may hold of the descriptors.
-		front.MaxConns = (cfg.ViewerConns() + 1) / 2
-		second := &websocket.Front{
-			Core: core, Catalog: catalog, Path: w.Path, Grace: w.Grace,
-			MaxConns: cfg.ViewerConns() / 2, Log: log,
-		}
-		group.Go(func() error { return second.Serve(ctx, at.players) })
-	}
-	group.Go(func() error { return core.Run(ctx) })
-	group.Go(func() error { return nodes.Run(ctx) })
-	group.Go(func() error { return coordinator.Run(ctx) })
-	group.Go(func() error { return front.Serve(ctx, at.viewers) })
-	group.Go(func() error {
-		for draining := false; !draining; {
-			select {
-			case s := <-signals:
-				if s == syscall.SIGHUP {
-					follow(coordinator, reload, log)
-					continue
-				}
-				log.Info("draining", zap.Stringer("signal", s))
-				core.Finish()
-				draining = true
-			case <-ctx.Done():
-				return nil
-			}
-		}
-		select {
-		case <-core.Drained():
-			time.Sleep(lastWrites)
-			cancel()
-		case <-ctx.Done():
+	if l.level != "" {
+		level, err := zap.ParseAtomicLevel(l.level)
+		if err != nil {
+			return nil, err
 		}
-		return nil
-	})
-	log.Info("serving", zap.String("listen", cfg.Listen))
-	return group.Wait()
-}
-
-// follow reads the configuration anew and has the coordinator that it names
-// followed. Guard: one that can't be read or is faulty changes nothing.
-func follow(c *directory.Coordinator, reload func() (config.Config, error), log *zap.Logger) {
-	cfg, err := reload()
-	if err != nil {
-		log.Error("configuration not reloaded; the old one stays", zap.Error(err))
-		return
-	}
-	c.Follow(cfg.Coordinator)
-	log.Info("configuration reloaded", zap.String("coordinator", cfg.Coordinator))
-}
-
-// lastWrites is left for queued answers to be written before the end.
-const lastWrites = 50 * time.Millisecond
-
-// list is a change as the module takes it.
-func list(c directory.Change) broker.List {
-	var l broker.List
-	for _, m := range c.Members {
-		l.Entries = append(l.Entries, m.Entry)
+		c.Level = level
 	}
-	return l
+	return c.Build(zap.WithCaller(false))
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,10 +6,12 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"millethinge/control"
@@ -19,10 +21,10 @@
 
 // Environment variables.
 const (
+	EnvConfig   = "BALANCER_CONFIG"      // path of the platform's JSON
+	EnvOperator = "MILLETHINGE_OPERATOR" // the operator's file; absent: operatorFile
 	envName     = "BALANCER_NAME"
 	envListen   = "BALANCER_LISTEN"
-	envConfig   = "BALANCER_CONFIG"
-	envOperator = "MILLETHINGE_OPERATOR" // the operator's file; absent: operatorFile
 )
 
 // Defaults of what the platform may leave out.
@@ -80,13 +82,13 @@
 // Load reads the configuration of the environment that getenv tells.
 func Load(getenv func(string) string) (Config, error) {
 	var c Config
-	path := getenv(envConfig)
+	path := getenv(EnvConfig)
 	if path == "" {
-		return c, fmt.Errorf("%s: not set", envConfig)
+		return c, fmt.Errorf("%s: not set", EnvConfig)
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return c, fmt.Errorf("%s: %w", envConfig, err)
+		return c, fmt.Errorf("%s: %w", EnvConfig, err)
 	}
 	if c, err = Parse(text); err != nil {
 		return c, err
@@ -100,7 +102,7 @@
 	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
 		return c, fmt.Errorf("listen (or %s): %w", envListen, err)
 	}
-	path, given := getenv(envOperator), true
+	path, given := getenv(EnvOperator), true
 	if path == "" {
 		path, given = operatorFile, false
 	}
@@ -109,7 +111,7 @@
 		return c, nil
 	}
 	if err != nil {
-		return c, fmt.Errorf("%s: %w", envOperator, err)
+		return c, fmt.Errorf("%s: %w", EnvOperator, err)
 	}
 	c.Operator, err = ParseOperator(path, text, readBounded, c.Deployment())
 	return c, err
@@ -133,8 +135,9 @@
 		Known       json.RawMessage `json:"known"`
 		Settings    json.RawMessage `json:"settings"`
 	}
-	fault := func(key string, err error) (Config, error) {
-		return Config{}, fmt.Errorf("%s: %s: %w", platformFile, key, err)
+	var faults []error
+	fault := func(key string, err error) {
+		faults = append(faults, fmt.Errorf("%s: %s: %w", platformFile, key, err))
 	}
 	if err := json.Unmarshal(text, &raw); err != nil {
 		return Config{}, fmt.Errorf("%s: %w", platformFile, err)
@@ -153,38 +156,38 @@
 		c.Sockets = defaultSockets
 	}
 	if c.Sockets < leastSockets*descriptorsForSelf/8 {
-		return fault("limits.sockets", fmt.Errorf("%d is too few", c.Sockets))
+		fault("limits.sockets", fmt.Errorf("%d is too few", c.Sockets))
 	}
 	var err error
 	if raw.Seed != "" {
 		if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
-			return fault("seed", err)
+			fault("seed", err)
 		}
 	}
 	if len(raw.Known) > 0 {
 		if c.Known, err = directory.ParseUpdates(raw.Known); err != nil {
-			return fault("known", err)
+			fault("known", err)
 		}
 	}
 	if c.Coordinator != "" {
 		if _, _, err := net.SplitHostPort(c.Coordinator); err != nil {
-			return fault("coordinator", err)
+			fault("coordinator", err)
 		}
 	}
 	if len(raw.Settings) == 0 {
-		return fault("settings", fmt.Errorf("missing"))
+		fault("settings", fmt.Errorf("missing"))
+		return Config{}, errors.Join(faults...)
 	}
 	p, err := parseParams(raw.Settings)
 	if err != nil {
-		return fault("settings", err)
-	}
-	if c.Settings, err = p.settings(); err != nil {
-		return fault("settings", err)
+		fault("settings", err)
+	} else if c.Settings, err = p.settings(); err != nil {
+		fault("settings", err)
 	}
 	c.Names = directory.Names{Zones: p.Zones, Kinds: p.Kinds}
 	for i, l := range p.Lanes {
 		if l.Name == "" {
-			return fault(fmt.Sprintf("settings.lanes[%d].name", i), fmt.Errorf("missing"))
+			fault(fmt.Sprintf("settings.lanes[%d].name", i), fmt.Errorf("missing"))
 		}
 		c.Classes = append(c.Classes, l.Name)
 		giveUp := orDefault(l.GiveUp, defaultGiveUp)
@@ -201,9 +204,34 @@
 	if c.StreamsPerConn <= 0 {
 		c.StreamsPerConn = defaultPerConn
 	}
+	if len(faults) > 0 {
+		return Config{}, errors.Join(faults...)
+	}
 	return c, nil
 }
 
+// Summary says in a few lines what a configuration comes to.
+func (c *Config) Summary() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s on %s: classes %s; %d viewers' and %d nodes' connections; %d MB",
+		c.Name, c.Listen, strings.Join(c.Classes, ", "), c.ViewerConns(), c.NodeConns(), c.MemoryMB)
+	o := &c.Operator
+	if !o.Set {
+		b.WriteString("\nno operator's file")
+		return b.String()
+	}
+	if w := o.WebSocket; w != nil {
+		fmt.Fprintf(&b, "\nwebsocket on %s%s, grace %v", w.Listen, w.Path, w.Grace)
+	}
+	if len(o.Teams) > 0 {
+		fmt.Fprintf(&b, "\n%d teams", len(o.Teams))
+	}
+	if d := o.DNSSD; d != nil {
+		fmt.Fprintf(&b, "\ndns-sd %s at %s", d.Service, d.Server)
+	}
+	return b.String()
+}
+
 func orDefault(s float64, d time.Duration) time.Duration {
 	if s <= 0 {
 		return d
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -17,6 +17,7 @@
 	Viewers   Viewers
 	Teams     []broker.Team
 	DNSSD     *DNSSD
+	Warnings  []string // of what is no fault, each with its place
 }
 
 // Deployment is what an operator's file may refer to.
--- a/cmd/millethinge/exchange_test.go
+++ b/internal/server/exchange_test.go
@@ -1,4 +1,4 @@
-package main
+package server
 
 import (
 	"bufio"
@@ -43,7 +43,7 @@
 
 // program is a running session manager.
 type program struct {
-	at      listeners
+	at      Listeners
 	signals chan os.Signal
 	reload  chan string // what the next reload reads
 	done    chan error
@@ -60,13 +60,13 @@
 	}
 	cfg.Drain = broker.Drain{Take: patience, Stay: 900 * time.Millisecond} // whatever the machine's pace
 	p := &program{signals: make(chan os.Signal, 1), reload: make(chan string, 1), done: make(chan error, 1)}
-	if p.at, err = listen(cfg); err != nil {
+	if p.at, err = Listen(cfg); err != nil {
 		t.Fatal(err)
 	}
 	reload := func() (config.Config, error) {
 		return config.Parse(fmt.Appendf(nil, platform, <-p.reload, members, cells))
 	}
-	go func() { p.done <- run(cfg, p.at, p.signals, reload, zap.NewNop()) }()
+	go func() { p.done <- Run(cfg, p.at, p.signals, reload, zap.NewNop()) }()
 	t.Cleanup(func() {
 		p.signals <- syscall.SIGTERM
 		select {
@@ -194,9 +194,9 @@
 	if l := servers[name]; l != nil {
 		return accept(t, l)
 	}
-	addr := p.at.viewers.Addr()
+	addr := p.at.Viewers.Addr()
 	if name[0] == 'w' {
-		addr = p.at.players.Addr()
+		addr = p.at.Players.Addr()
 	}
 	c, err := net.Dial("tcp", addr.String())
 	if err != nil {
--- a/cmd/millethinge/mixed_test.go
+++ b/internal/server/mixed_test.go
@@ -1,4 +1,4 @@
-package main
+package server
 
 import (
 	"bufio"
@@ -117,9 +117,9 @@
 func (s frameSpeaker) hear() ([]byte, error) { return readText(s.in) }
 
 func speak(t *testing.T, p *program, player bool) speaker {
-	addr := p.at.viewers.Addr()
+	addr := p.at.Viewers.Addr()
 	if player {
-		addr = p.at.players.Addr()
+		addr = p.at.Players.Addr()
 	}
 	c, err := net.Dial("tcp", addr.String())
 	if err != nil {
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,153 @@
+// Package server assembles the session manager's parts: it starts the fronts,
+// the broker, the media nodes and the list, drains them on a signal and stops
+// them.
+package server
+
+import (
+	"context"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"millethinge/internal/broker"
+	"millethinge/internal/config"
+	"millethinge/internal/directory"
+	"millethinge/internal/front/jsonl"
+	"millethinge/internal/front/message"
+	"millethinge/internal/front/websocket"
+	"millethinge/internal/media"
+)
+
+// Listeners are the fronts' sockets.
+type Listeners struct {
+	Viewers net.Listener
+	Players net.Listener // nil: there is no second front
+}
+
+// Listen opens the sockets that a configuration names.
+func Listen(cfg config.Config) (at Listeners, err error) {
+	if at.Viewers, err = net.Listen("tcp", cfg.Listen); err != nil {
+		return at, err
+	}
+	if w := cfg.Operator.WebSocket; w != nil {
+		at.Players, err = net.Listen("tcp", w.Listen)
+	}
+	return at, err
+}
+
+// Run serves until a signal ends it and all that was taken is answered. SIGHUP
+// has it follow the coordinator that reload names.
+func Run(cfg config.Config, at Listeners, signals <-chan os.Signal,
+	reload func() (config.Config, error), log *zap.Logger) error {
+	root, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, ctx := errgroup.WithContext(root)
+
+	// The broker and the nodes know each other; the broker does nothing before
+	// it runs, so its nodes may be made first.
+	var core *broker.Broker
+	pool := media.NewPool(ctx, group, media.Config{
+		Classes: cfg.Classes, Fields: cfg.Settings.Fields,
+		ConnectTimeout: cfg.ConnectTimeout, ConnIdle: cfg.ConnIdle,
+		StreamsPerConn: cfg.StreamsPerConn, MaxConns: cfg.NodeConns(),
+		Report: func(r broker.Report) { core.Report(r) }, Log: log,
+	})
+	core, err := broker.New(broker.Config{
+		Settings: cfg.Settings, Seed: cfg.Seed, MemoryMB: cfg.MemoryMB, Drain: cfg.Drain, Teams: cfg.Operator.Teams, Nodes: pool, Log: log,
+	})
+	if err != nil {
+		return err
+	}
+	nodes := directory.NewList(func(c directory.Change) {
+		pool.Apply(c) // first: a drain binds what is queued at once
+		core.List(list(c))
+	})
+	coordinator := directory.NewCoordinator(cfg.Known, cfg.Names, nodes.Source("coordinator"), log)
+	coordinator.Follow(cfg.Coordinator)
+	nodes.Settle()
+	if d := cfg.Operator.DNSSD; d != nil {
+		discovery := &directory.DNSSD{
+			Server: d.Server, Service: d.Service, Names: cfg.Names, Log: log, Sink: nodes.Source("dns-sd"),
+		}
+		group.Go(func() error { return discovery.Run(ctx) })
+	}
+
+	teams := cfg.Tenants
+	for _, t := range cfg.Operator.Teams {
+		teams = append(teams, t.Name)
+	}
+	catalog := message.Catalog{
+		Classes: cfg.Classes, Teams: teams,
+		Cells: cfg.Settings.Cells, MaxRung: len(cfg.Settings.RatesKB) - 1, MostLeft: cfg.MostLeft,
+	}
+	front := &jsonl.Front{
+		Core: core, Catalog: catalog, MaxConns: cfg.ViewerConns(),
+		MostOpen: cfg.Operator.Viewers.MostOpen, Reasons: cfg.Operator.Viewers.Reasons, Log: log,
+	}
+	if w := cfg.Operator.WebSocket; w != nil {
+		// Both fronts share what viewers may hold of the descriptors.
+		front.MaxConns = (cfg.ViewerConns() + 1) / 2
+		second := &websocket.Front{
+			Core: core, Catalog: catalog, Path: w.Path, Grace: w.Grace,
+			MaxConns: cfg.ViewerConns() / 2, MostOpen: cfg.Operator.Viewers.MostOpen, Log: log,
+		}
+		group.Go(func() error { return second.Serve(ctx, at.Players) })
+	}
+	group.Go(func() error { return core.Run(ctx) })
+	group.Go(func() error { return nodes.Run(ctx) })
+	group.Go(func() error { return coordinator.Run(ctx) })
+	group.Go(func() error { return front.Serve(ctx, at.Viewers) })
+	group.Go(func() error {
+		for draining := false; !draining; {
+			select {
+			case s := <-signals:
+				if s == syscall.SIGHUP {
+					follow(coordinator, reload, log)
+					continue
+				}
+				log.Info("draining", zap.Stringer("signal", s))
+				core.Finish()
+				draining = true
+			case <-ctx.Done():
+				return nil
+			}
+		}
+		select {
+		case <-core.Drained():
+			time.Sleep(lastWrites)
+			cancel()
+		case <-ctx.Done():
+		}
+		return nil
+	})
+	log.Info("serving", zap.String("listen", cfg.Listen))
+	return group.Wait()
+}
+
+// follow reads the configuration anew and has the coordinator that it names
+// followed. Guard: one that can't be read or is faulty changes nothing.
+func follow(c *directory.Coordinator, reload func() (config.Config, error), log *zap.Logger) {
+	cfg, err := reload()
+	if err != nil {
+		log.Error("configuration not reloaded; the old one stays", zap.Error(err))
+		return
+	}
+	c.Follow(cfg.Coordinator)
+	log.Info("configuration reloaded", zap.String("coordinator", cfg.Coordinator))
+}
+
+// lastWrites is left for queued answers to be written before the end.
+const lastWrites = 50 * time.Millisecond
+
+// list is a change as the module takes it.
+func list(c directory.Change) broker.List {
+	var l broker.List
+	for _, m := range c.Members {
+		l.Entries = append(l.Entries, m.Entry)
+	}
+	return l
+}
