Add a language for rules that is typed, bounded in cost and compiled once

Need: which class, team or budget key a request belongs to is decided in code and needs a rebuild to change.

Rules are compiled once for each class; what several conditions work out alike is worked out once. Evaluation is total and allocates nothing. What could turn a request of one class into another that is not allowed is told with the class it was checked for. internal/spell finds the nearest known word, for this and the operator's file.

--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -123,16 +123,6 @@
 	}
 }
 
-func TestNearest(t *testing.T) {
-	known := []string{"listen", "path", "grace", "open-per-connection"}
-	for word, want := range map[string]string{"lisen": "listen", "LISTEN": "listen", "grcae": "grace", "pth": "path",
-		"open_per_connection": "open-per-connection", "xyz": "", "": "", "websocket": ""} {
-		if got := Nearest(word, known); got != want {
-			t.Errorf("%s: %q, want %q", word, got, want)
-		}
-	}
-}
-
 // Whatever bytes come, faults have a place within the text, and parsing ends.
 func FuzzParse(f *testing.F) {
 	for _, s := range []string{"a {\n b \"c\\x41\" `d`\n}\n", "include x", "a \\\n b", "}{\"", "\xff\x00"} {
--- a/internal/conf/directive.go
+++ b/internal/conf/directive.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"millethinge/internal/spell"
 )
 
 // Key is one keyword that a block may hold.
@@ -32,7 +34,7 @@
 	for _, d := range list {
 		i := slices.Index(names, d.Name())
 		if i < 0 {
-			d.Fault(0, "unknown keyword %q%s", d.Name(), suggest(d.Name(), names))
+			d.Fault(0, "unknown keyword %q%s", d.Name(), spell.Suggest(d.Name(), names))
 			continue
 		}
 		if first[i] != nil && !keys[i].Many {
@@ -239,7 +241,7 @@
 	w := d.Word(what)
 	i := slices.Index(words, w)
 	if i < 0 && !d.bad {
-		d.Fault(d.next, "%q is not %s%s", w, what, suggest(w, words))
+		d.Fault(d.next, "%q is not %s%s", w, what, spell.Suggest(w, words))
 	}
 	return i
 }
--- /dev/null
+++ b/internal/rules/explain.go
@@ -0,0 +1,144 @@
+package rules
+
+// Step is what happened at one rule.
+type Step struct {
+	Rule   string
+	When   string // its condition, as it was written
+	Skips  bool   // it can't match a request of this class, and was not looked at
+	Match  bool
+	Cost   int64 // steps, with definitions where they were first used
+	Values []Named
+}
+
+// Named is a part of a condition with what it came to.
+type Named struct {
+	Name  string
+	Value Value
+}
+
+// traced is what Explain needs of a rule.
+type traced struct {
+	source Source
+	parts  []part
+}
+
+// part is something of a condition that depends on the request.
+type part struct {
+	name string
+	kind Kind
+	read func(*Frame) Cell
+}
+
+// traced keeps the parts of each rule's condition.
+func (b *builder) traced(list []*checked, k *compiler) []traced {
+	var all []traced
+	for _, r := range list {
+		t := traced{source: r.Source}
+		seen := make(map[string]bool)
+		var walk func(n *node)
+		walk = func(n *node) {
+			if n == nil {
+				return
+			}
+			name := n.text
+			switch n.op {
+			case opVar, opText, opDef:
+			case opTable:
+				name += "[…]"
+			case opClock, opToday:
+				if n.idx > 0 || b.zones[n.idx].name != b.env.Local {
+					name += "(\"" + b.zones[n.idx].name + "\")"
+				}
+			default:
+				name = ""
+			}
+			if name != "" && !seen[name] && !n.bound() {
+				seen[name] = true
+				t.parts = append(t.parts, part{name, n.typ.Kind, k.reader(n)})
+			}
+			for _, kid := range n.kids {
+				walk(kid)
+			}
+		}
+		walk(r.when)
+		all = append(all, t)
+	}
+	return all
+}
+
+// bound tells whether n refers to a let that is outside of it.
+func (n *node) bound() bool {
+	var free func(n *node, own map[int]bool) bool
+	free = func(n *node, own map[int]bool) bool {
+		switch n.op {
+		case opLocal:
+			return !own[n.idx]
+		case opLet:
+			own[n.idx] = true
+		}
+		for _, k := range n.kids {
+			if free(k, own) {
+				return true
+			}
+		}
+		return false
+	}
+	return free(n, make(map[int]bool))
+}
+
+// reader makes the function that reads a value of any kind.
+func (k *compiler) reader(n *node) func(*Frame) Cell {
+	switch n.typ.Kind.form() {
+	case asBool:
+		return reader(compileOpt(k, boolShape, n), boolShape)
+	case asFloat:
+		return reader(compileOpt(k, floatShape, n), floatShape)
+	case asText:
+		return reader(compileOpt(k, textShape, n), textShape)
+	case asAddr:
+		return reader(compileOpt(k, addrShape, n), addrShape)
+	}
+	return reader(compileOpt(k, numShape, n), numShape)
+}
+
+func reader[T any](value opt[T], s *shape[T]) func(*Frame) Cell {
+	return func(f *Frame) (c Cell) {
+		v, ok := value(f)
+		s.put(&c, v)
+		c.OK = ok
+		return c
+	}
+}
+
+// Explain evaluates as Evaluate does, and tells of each rule up to the one that
+// matches. The set must have been compiled with Env.Trace.
+func (s *Set) Explain(f *Frame) (rule int, steps []Step) {
+	rule = s.Evaluate(f)
+	settings, cost := f.out, f.cost
+	f.forget() // definitions are worked out again, each where it is first used
+	p := &s.programs[0]
+	if v := s.env.Class; v >= 0 {
+		p = &s.programs[f.vars[v].N+1]
+	}
+	at := 0
+	for i, t := range s.trace {
+		if rule >= 0 && i > rule {
+			break
+		}
+		one := Step{Rule: s.names[i], When: t.source.Text}
+		if at < len(p.steps) && p.steps[at].rule == i {
+			f.cost = 0
+			one.Match = p.steps[at].when == nil || p.steps[at].when(f)
+			one.Cost = f.cost + 1
+			at++
+		} else {
+			one.Skips = true
+		}
+		for _, part := range t.parts {
+			one.Values = append(one.Values, Named{part.name, Value{Kind: part.kind, Cell: part.read(f)}})
+		}
+		steps = append(steps, one)
+	}
+	f.out, f.cost = settings, cost
+	return rule, steps
+}
--- /dev/null
+++ b/internal/rules/property_test.go
@@ -0,0 +1,512 @@
+package rules
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"math/big"
+	"net/netip"
+	"os"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"pgregory.net/rapid"
+)
+
+// Properties are tried with the same values every time.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20260515", "rapid.checks": "1500", "rapid.nofailfile": "true", "rapid.shrinktime": "5s"} {
+		given := false
+		flag.Visit(func(f *flag.Flag) { given = given || f.Name == name })
+		if !given {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// gen writes a random expression of a kind that the checker takes. lets are the
+// names that are bound, with their kinds.
+func gen(t *rapid.T, k Kind, depth int, lets []string) string {
+	pick := func(options ...string) string { return rapid.SampledFrom(options).Draw(t, "pick") }
+	sub := func(k Kind) string { return gen(t, k, depth-1, lets) }
+	if depth <= 0 {
+		return leaf(t, k)
+	}
+	for _, l := range lets {
+		if kind, name, _ := strings.Cut(l, " "); kind == k.String() && rapid.IntRange(0, 3).Draw(t, "let") == 0 {
+			return name
+		}
+	}
+	switch rapid.IntRange(0, 9).Draw(t, "form") {
+	case 0:
+		return leaf(t, k)
+	case 1:
+		return fmt.Sprintf("(if %s then %s else %s)", sub(Bool), sub(k), sub(k))
+	case 2:
+		bound := rapid.SampledFrom([]Kind{Bool, Int, Float, String, Class, Addr}).Draw(t, "bound")
+		name := fmt.Sprint("x", len(lets))
+		return fmt.Sprintf("(let %s = %s; %s)", name, sub(bound), gen(t, k, depth-1, append(slices.Clone(lets), bound.String()+" "+name)))
+	}
+	switch k {
+	case Bool:
+		switch rapid.IntRange(0, 11).Draw(t, "bool") {
+		case 0, 1:
+			return fmt.Sprintf("(%s %s %s %s %s)", sub(Bool), pick("and", "or"), sub(Bool), pick("and", "or"), sub(Bool))
+		case 2:
+			return "(not " + sub(Bool) + ")"
+		case 3:
+			kind := rapid.SampledFrom([]Kind{Int, Float, String, Duration, Clock, Date}).Draw(t, "ordered")
+			return fmt.Sprintf("(%s %s %s)", sub(kind), pick("==", "!=", "<", "<=", ">", ">="), sub(kind))
+		case 4:
+			kind := rapid.SampledFrom([]Kind{Bool, Class, Team, Title, Addr}).Draw(t, "equal")
+			return fmt.Sprintf("(%s %s %s)", sub(kind), pick("==", "!="), sub(kind))
+		case 5:
+			return fmt.Sprintf("(%s %s [%s, 7, -1])", sub(Int), pick("in", "not in"), pick("0", "5", "4"))
+		case 6:
+			return fmt.Sprintf("(%s in %s)", sub(Addr), pick("10.0.0.0/8", "[10.4.7.9, 192.168.0.0/16]", "net"))
+		case 7:
+			return pick("has(viewer)", `has(field("x"))`, "has(int("+sub(String)+"))", "has(part("+sub(String)+`, ";", 2))`)
+		case 8:
+			return fmt.Sprintf("%s(%s, %s)", pick("starts", "ends", "contains"), sub(String), sub(String))
+		case 9:
+			return fmt.Sprintf("glob(%s, %q)", sub(String), pick("*", "a*", "*1*2", "T?ll*", ""))
+		case 10:
+			return fmt.Sprintf("matches(%s, `%s`)", sub(String), pick("^T", "[0-9]+", "a|b", "^$"))
+		}
+		return fmt.Sprintf("%s(%s)", pick("quincena", "last_day"), sub(Date))
+	case Int:
+		switch rapid.IntRange(0, 8).Draw(t, "int") {
+		case 0, 1:
+			return fmt.Sprintf("(%s %s %s)", sub(Int), pick("+", "-", "*"), sub(Int))
+		case 2:
+			return fmt.Sprintf("(%s %s (%s + copies))", sub(Int), pick("/", "%"), sub(Int))
+		case 3:
+			return "(- " + sub(Int) + ")"
+		case 4:
+			return fmt.Sprintf("(int(%s) ?? %s)", sub(String), sub(Int))
+		case 5:
+			return pick("len("+sub(String)+")", "hash("+sub(String)+")", "bucket("+sub(Title)+", 10)", "abs("+sub(Int)+")", "int("+sub(Float)+")", "ms("+sub(Duration)+")")
+		case 6:
+			return fmt.Sprintf("%s(%s, %s)", pick("min", "max"), sub(Int), sub(Int))
+		case 7:
+			return fmt.Sprintf("rank[%s]", sub(String))
+		}
+		return fmt.Sprintf("%s(%s)", pick("day", "month", "year", "weekday"), sub(Date))
+	case Float:
+		return pick(fmt.Sprintf("(%s %s %s)", sub(Float), pick("+", "-", "*"), sub(Float)), fmt.Sprintf("(%s / (%s + top))", sub(Float), sub(Float)),
+			"float("+sub(Int)+")", "(float("+sub(String)+") ?? "+sub(Float)+")", "abs("+sub(Float)+")", "(- "+sub(Float)+")")
+	case String:
+		return pick(fmt.Sprintf("(%s + %s)", sub(String), sub(String)), "lower("+sub(String)+")", "upper("+sub(String)+")", "text("+sub(Int)+")", "text("+sub(Class)+")", "text("+sub(Title)+")",
+			"(part("+sub(String)+`, ";", 2) ?? viewer ?? `+sub(String)+")", "net["+sub(Addr)+"]", "(field(\"x\") ?? "+sub(String)+")")
+	case Duration:
+		return pick(fmt.Sprintf("(%s %s %s)", sub(Duration), pick("+", "-"), sub(Duration)), fmt.Sprintf("(%s * %s)", sub(Duration), sub(Int)), fmt.Sprintf("(%s / (%s + copies))", sub(Duration), sub(Int)))
+	case Date:
+		return fmt.Sprintf("(%s %s %s)", sub(Date), pick("+", "-"), sub(Int))
+	case Team:
+		return "owner[" + sub(Title) + "]"
+	case Class:
+		return "kinds[" + sub(Title) + "]"
+	case Title:
+		return "(title((field(\"x\") ?? " + sub(String) + ")) ?? " + sub(Title) + ")"
+	case Addr:
+		return "(addr((field(\"x\") ?? " + sub(String) + ")) ?? " + sub(Addr) + ")"
+	}
+	return leaf(t, k)
+}
+
+func leaf(t *rapid.T, k Kind) string {
+	return rapid.SampledFrom(map[Kind][]string{
+		Bool: {"true", "false", "retry", "shared"}, Int: {"0", "1", "7", "copies", "9223372036854775807", "sum", "(today - 2026-05-01)"}, Float: {"0.5", "top", "1e308", "0.0"},
+		String: {`""`, `"a"`, `"a;7f3a;x"`, `"12"`, `"10.4.0.1"`, `viewer ?? ""`, `(field("x") ?? "b")`, "name"}, Duration: {"0s", "1500ms", "left", "2000000h"},
+		Clock: {"clock", "18:30", `clock("UTC")`}, Date: {"today", "2026-12-31", "0001-01-01", "9999-12-31"}, Addr: {"(client ?? 0.0.0.0)", "10.4.7.9", `addr("fe80::1")`},
+		Class: {"clip", "feed", "class", `class("none")`}, Team: {"north", "team", `team("none")`}, Title: {`title("7f3a")`, "key"},
+	}[k]).Draw(t, k.String())
+}
+
+var propertyDefs = []string{`shared = retry or class == clip`, `sum = copies + rank[viewer ?? ""]`, `name = lower(viewer ?? "?") + text(class)`}
+
+// TestCompiledAgrees holds the compiled form of random expressions against a
+// plain evaluator of the tree that the checker made, and its cost against the
+// bound, for each class.
+func TestCompiledAgrees(t *testing.T) {
+	var evaluated, matched int
+	rapid.Check(t, func(t *rapid.T) {
+		depth := rapid.IntRange(1, 4).Draw(t, "depth")
+		when, also, text := gen(t, Bool, depth, nil), gen(t, Bool, depth-1, nil), gen(t, String, depth, nil)
+		env := testEnv()
+		env.Targets[3].Most = maxString
+		env.Budget = MostBudget
+		told := new(told)
+		b := newBuilder(env)
+		b.readTables(testTables(told))
+		var defs []Definition
+		for _, d := range propertyDefs {
+			name, text, _ := strings.Cut(d, " = ")
+			defs = append(defs, Definition{name, told.source(name, text)})
+		}
+		b.readDefinitions(defs)
+		var rules []Rule // which have parts in common
+		for _, w := range []string{when + " and " + also, also, when} {
+			rules = append(rules, Rule{"r", told.source("r", "when "+w+" set label.a = "+text)})
+		}
+		list := b.readRules(rules)
+		for _, d := range b.ordered(defs) {
+			b.define(d, nil)
+		}
+		if !b.faulty {
+			b.assemble(list, true)
+		}
+		if b.faulty {
+			for _, f := range told.faults {
+				if !strings.Contains(f, "may become a string of") && !strings.Contains(f, "at most 8192 are read") && !strings.Contains(f, "nested more than") && !strings.Contains(f, "steps for class") {
+					t.Fatalf("%s\n%v", when, told.faults)
+				}
+			}
+			t.Skip("too much")
+		}
+		s := b.assemble(list, false)
+		f := s.NewFrame()
+		f.Begin(time.Date(2026, 5, 15, 0, 0, 0, 0, time.UTC).Add(time.Duration(rapid.Int64Range(0, 1e18).Draw(t, "now"))))
+		f.SetNum(vClass, int64(rapid.IntRange(-1, 2).Draw(t, "class")))
+		f.SetNum(vTeam, int64(rapid.IntRange(-1, 2).Draw(t, "team")))
+		f.SetNum(vTitle, rapid.SampledFrom([]int64{0x7f3a, 1, 8, -1}).Draw(t, "title"))
+		f.SetNum(vCopies, rapid.Int64Range(-2, 5).Draw(t, "copies"))
+		f.SetFloat(vTop, rapid.SampledFrom([]float64{0, -2.5, 1e300}).Draw(t, "top"))
+		f.SetNum(vLeft, rapid.SampledFrom([]int64{0, 1e9, math.MaxInt64}).Draw(t, "left"))
+		f.SetBool(vRetry, rapid.Bool().Draw(t, "retry"))
+		if rapid.Bool().Draw(t, "viewer") {
+			f.SetString(vViewer, rapid.SampledFrom([]string{"Till;7f3a", "a", "b"}).Draw(t, "name"))
+		}
+		if rapid.Bool().Draw(t, "client") {
+			f.SetAddr(vClient, netip.MustParseAddr("10.4.7.9"))
+		}
+		for i := range s.Texts() {
+			if rapid.Bool().Draw(t, "x") {
+				f.SetText(i, []byte(rapid.SampledFrom([]string{"", "a1b2", "-5"}).Draw(t, "text")))
+			}
+		}
+		w := &walker{set: s, f: f, b: b, locals: make(map[int]Value)}
+		want := slices.IndexFunc(list, func(r *checked) bool { return w.walk(r.when).B })
+		rule := s.Evaluate(f)
+		evaluated++
+		if rule != want {
+			t.Fatalf("%s, %s: rule %d, want %d", when, also, rule, want)
+		}
+		if want >= 0 {
+			matched++
+			if got, want := f.Settings()[0].S, w.walk(list[want].settings[0].value).S; got != want {
+				t.Fatalf("%s: %q, want %q", text, got, want)
+			}
+		}
+		if f.cost > s.bound {
+			t.Fatalf("%s, %s: cost %d, bound %d", when, text, f.cost, s.bound)
+		}
+	})
+	if evaluated < 500 || matched < evaluated/10 || matched > evaluated*9/10 {
+		t.Errorf("%d evaluated, %d matched: too one-sided", evaluated, matched)
+	}
+}
+
+// walker evaluates a tree as it stands: no folding, no definitions kept, big
+// numbers in place of saturation. It is the plain meaning of the language.
+type walker struct {
+	set    *Set
+	f      *Frame
+	b      *builder
+	locals map[int]Value
+}
+
+func (w *walker) walk(n *node) Value {
+	kid := func(i int) Value { return w.walk(n.kids[i]) }
+	out := func(k Kind, c Cell) Value { c.OK = true; return Value{Kind: k, Cell: c} }
+	truth := func(b bool) Value { return out(Bool, Cell{B: b}) }
+	zone := func() time.Time { return w.f.now.In(w.b.zones[n.idx].loc) }
+	switch n.op {
+	case opConst:
+		return n.val
+	case opVar:
+		return Value{Kind: n.typ.Kind, Cell: w.f.vars[n.idx]}
+	case opText:
+		return Value{Kind: String, Cell: w.f.texts[n.idx]}
+	case opLocal:
+		return w.locals[n.idx]
+	case opLet:
+		w.locals[n.idx] = kid(0)
+		return kid(1)
+	case opDef:
+		return kid(0)
+	case opTable:
+		if row := w.row(n.tab.index, kid(0)); row >= 0 {
+			return n.tab.values[row]
+		}
+		return n.tab.miss
+	case opIf:
+		if kid(0).B {
+			return kid(1)
+		}
+		return kid(2)
+	case opNot:
+		return truth(!kid(0).B)
+	case opAnd, opOr:
+		v := n.op == opAnd
+		for i := range n.kids {
+			if n.op == opAnd {
+				v = kid(i).B && v
+			} else {
+				v = kid(i).B || v
+			}
+		}
+		return truth(v)
+	case opIn:
+		return truth(w.row(n.keys, kid(0)) >= 0)
+	case opInside:
+		return truth(n.val.P.Contains(kid(0).A))
+	case opElse:
+		if v := kid(0); v.OK {
+			return v
+		}
+		return kid(1)
+	case opHas:
+		return truth(kid(0).OK)
+	case opClock:
+		t := zone()
+		return out(Clock, Cell{N: int64(time.Duration(t.Hour())*time.Hour + time.Duration(t.Minute())*time.Minute + time.Duration(t.Second())*time.Second + time.Duration(t.Nanosecond()))})
+	case opToday:
+		t := zone()
+		return out(Date, Cell{N: time.Date(t.Year(), t.Month(), t.Day(), 0, 0, 0, 0, time.UTC).Unix() / 86400})
+	case opConcat:
+		s := ""
+		for i := range n.kids {
+			s += kid(i).S
+		}
+		return out(String, Cell{S: s})
+	case opNeg:
+		v := kid(0)
+		if v.Kind == Float {
+			return out(Float, Cell{F: -v.F})
+		}
+		return out(n.typ.Kind, Cell{N: clamp(new(big.Int).Neg(big.NewInt(v.N)))})
+	case opSum:
+		return w.sum(n, kid(0), kid(1))
+	case opCompare:
+		c := compareValues(kid(0), kid(1))
+		return truth(map[byte]bool{'=': c == 0, '!': c != 0, '<': c < 0, 'l': c <= 0, '>': c > 0, 'g': c >= 0}[n.cmp])
+	}
+	return w.call(n, kid)
+}
+
+func (w *walker) row(x *index, key Value) int {
+	switch x.kind {
+	case String:
+		for s, row := range x.texts {
+			if s == key.S {
+				return int(row)
+			}
+		}
+	case Prefix:
+		best, found := -1, -1
+		for p, row := range x.prefixes {
+			if p.Contains(key.A) && p.Bits() > best {
+				best, found = p.Bits(), int(row)
+			}
+		}
+		return found
+	default:
+		for n, row := range x.nums {
+			if n == key.N {
+				return int(row)
+			}
+		}
+	}
+	return -1
+}
+
+func clamp(n *big.Int) int64 {
+	if n.IsInt64() {
+		return n.Int64()
+	}
+	if n.Sign() > 0 {
+		return math.MaxInt64
+	}
+	return math.MinInt64
+}
+
+func (w *walker) sum(n *node, a, b Value) Value {
+	v := Value{Kind: n.typ.Kind, Cell: Cell{OK: true}}
+	if v.Kind == Float {
+		switch n.cmp {
+		case '+':
+			v.F = a.F + b.F
+		case '-':
+			v.F = a.F - b.F
+		case '*':
+			v.F = a.F * b.F
+		default:
+			if b.F != 0 {
+				v.F = a.F / b.F
+			}
+		}
+		if math.IsNaN(v.F) {
+			v.F = 0
+		}
+		v.F = max(min(v.F, math.MaxFloat64), -math.MaxFloat64)
+		return v
+	}
+	x, y, z := big.NewInt(a.N), big.NewInt(b.N), new(big.Int)
+	switch {
+	case n.cmp == '+':
+		z.Add(x, y)
+	case n.cmp == '-':
+		z.Sub(x, y)
+	case n.cmp == '*':
+		z.Mul(x, y)
+	case b.N == 0:
+	case n.cmp == '/':
+		z.Quo(x, y)
+	default:
+		z.Rem(x, y)
+	}
+	if v.N = clamp(z); v.Kind == Date {
+		v.N = min(max(v.N, -719162), 2932896)
+	}
+	return v
+}
+
+func compareValues(a, b Value) int {
+	switch a.Kind {
+	case Bool:
+		if a.B == b.B {
+			return 0
+		}
+		return 1
+	case Float:
+		return big.NewFloat(a.F).Cmp(big.NewFloat(b.F))
+	case String:
+		return strings.Compare(a.S, b.S)
+	case Addr:
+		return a.A.Compare(b.A)
+	}
+	return big.NewInt(a.N).Cmp(big.NewInt(b.N))
+}
+
+func (w *walker) call(n *node, kid func(int) Value) Value {
+	v := Value{Kind: n.typ.Kind, Cell: Cell{OK: true}}
+	a := kid(0)
+	at := func() time.Time { return time.Date(1970, 1, 1, 0, 0, 0, 0, time.UTC).AddDate(0, 0, int(a.N)) }
+	switch n.text {
+	case "len":
+		v.N = int64(len(a.S))
+	case "lower":
+		v.S = strings.Map(func(r rune) rune { return r + map[bool]rune{r >= 'A' && r <= 'Z': 32}[true] }, a.S)
+	case "upper":
+		v.S = strings.Map(func(r rune) rune { return r - map[bool]rune{r >= 'a' && r <= 'z': 32}[true] }, a.S)
+	case "starts":
+		v.B = strings.HasPrefix(a.S, kid(1).S)
+	case "ends":
+		v.B = strings.HasSuffix(a.S, kid(1).S)
+	case "contains":
+		v.B = strings.Contains(a.S, kid(1).S)
+	case "glob":
+		p := strings.NewReplacer(`\*`, "(?s:.*)", `\?`, "(?s:.)").Replace(regexp.QuoteMeta(n.arg.S))
+		v.B = regexp.MustCompile("^" + p + "$").MatchString(a.S)
+	case "matches":
+		v.B = n.re.MatchString(a.S)
+	case "part":
+		parts := strings.Split(a.S, n.arg.S)
+		if v.OK = int(n.arg.N) <= len(parts); v.OK {
+			v.S = parts[n.arg.N-1]
+		}
+	case "text":
+		v.S = strings.Trim(w.set.env.Show(a), `"`)
+	case "hash":
+		v.N = int64(xxhash.Sum64String(a.S) >> 1)
+	case "bucket":
+		z := new(big.Int).Mul(new(big.Int).SetUint64(xxhash.Sum64String(w.set.env.Show(a))), big.NewInt(n.arg.N))
+		v.N = z.Rsh(z, 64).Int64()
+	case "abs":
+		if v.F = math.Abs(a.F); a.Kind != Float {
+			v.N = clamp(new(big.Int).Abs(big.NewInt(a.N)))
+		}
+	case "min", "max":
+		v.N = map[bool]int64{true: min(a.N, kid(1).N), false: max(a.N, kid(1).N)}[n.text == "min"]
+	case "int":
+		if a.Kind == Float {
+			z, _ := big.NewFloat(a.F).Int(nil)
+			v.N = clamp(z)
+			break
+		}
+		x, err := strconv.ParseInt(a.S, 10, 64)
+		v.N, v.OK = x, err == nil
+	case "float":
+		if v.F = float64(a.N); a.Kind == String {
+			x, err := strconv.ParseFloat(a.S, 64)
+			v.F, v.OK = x, err == nil
+		}
+	case "ms":
+		v.N = time.Duration(a.N).Milliseconds()
+	case "title":
+		x, err := strconv.ParseUint(a.S, 16, 64)
+		v.N, v.OK = int64(x), err == nil
+	case "addr":
+		x, err := netip.ParseAddr(a.S)
+		v.A, v.OK = x, err == nil
+	case "day":
+		v.N = int64(at().Day())
+	case "month":
+		v.N = int64(at().Month())
+	case "year":
+		v.N = int64(at().Year())
+	case "weekday":
+		v.N = int64(at().Weekday())
+		if v.N == 0 {
+			v.N = 7
+		}
+	case "quincena":
+		v.B = at().Day() == 15 || at().Month() != at().Add(24*time.Hour).Month()
+	case "last_day":
+		v.B = at().Month() != at().Add(24*time.Hour).Month()
+	default:
+		panic("the walker has no " + n.text)
+	}
+	return v
+}
+
+// Whatever text comes, reading it ends with a set or with faults within the text.
+func FuzzRead(f *testing.F) {
+	for _, s := range []string{`when class == clip and copies > 2 set team = north, label.a = "x" + text(key)`, "when let x = (1; x", `set budget = lower(viewer ?? "é")`,
+		"when client ?? 10.0.0.1 in [10.0.0.0/8] or today - 3 == 2026-05-15 or between(clock, 18:00, 1:00)", "when matches(field(\"a\") ?? \"\", `(a+)+`)", "when 1h30m in [1s, 5ms]", "\"\\", "when ((((", "when f(-"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		tol := new(told)
+		src := Source{Text: text, Fault: func(at int, msg string) {
+			tol.faults = append(tol.faults, msg)
+			if at < 0 || at > len(text) || msg == "" {
+				t.Errorf("%q: fault at %d: %s", text, at, msg)
+			}
+		}}
+		b := newBuilder(testEnv())
+		s := b.set(testTables(tol), nil, []Rule{{"r", src}})
+		if (s == nil) != (len(tol.faults) > 0) {
+			t.Errorf("%q: set %v, faults %v", text, s != nil, tol.faults)
+		}
+		if s == nil {
+			if b.evaluated > 0 {
+				t.Errorf("%q was refused and evaluated", text)
+			}
+			return
+		}
+		if fr := request(s); s.Evaluate(fr) > 0 || fr.Cost() > s.Bound() {
+			t.Errorf("%q: cost %d, bound %d", text, fr.Cost(), s.Bound())
+		}
+	})
+}
--- /dev/null
+++ b/internal/rules/types.go
@@ -0,0 +1,276 @@
+// Package rules is a small language for matching requests and computing what
+// they are to be given: typed, checked before use, bounded in cost, and compiled
+// once to a form that allocates nothing when it is evaluated.
+//
+// A rule reads "when CONDITION set TARGET = VALUE, …". The package knows nothing
+// of what the targets mean. It does no I/O; the time and the zones' rules are
+// handed to it.
+//
+// Expressions are total: whole numbers saturate, what is divided by zero is 0, a
+// result that is no number is 0, and a text that is too long or no UTF-8 is
+// absent. What may be absent can't be used without a default.
+package rules
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"time"
+)
+
+// Kind is what a value is.
+type Kind uint8
+
+// The kinds. A class and a team are numbers that index the deployment's names; -1
+// is none.
+const (
+	Bool Kind = iota + 1
+	Int
+	Float
+	String
+	Duration
+	Clock // a time of day, in nanoseconds
+	Date  // in days since 1970-01-01
+	Addr
+	Prefix
+	Class
+	Team
+	Title
+
+	nothing // the literal none, until it is known of what
+)
+
+var kindNames = [...]string{"", "bool", "int", "float", "string", "duration", "clock", "date", "addr", "prefix", "class", "team", "title", "none"}
+
+func (k Kind) String() string { return kindNames[k] }
+
+// KindOf returns the kind of a name, or 0.
+func KindOf(name string) Kind {
+	for k := Bool; k < nothing; k++ {
+		if kindNames[k] == name {
+			return k
+		}
+	}
+	return 0
+}
+
+// Type is what an expression yields.
+type Type struct {
+	Kind     Kind
+	Optional bool
+}
+
+func (t Type) String() string {
+	if t.Optional {
+		return "optional " + t.Kind.String()
+	}
+	return t.Kind.String()
+}
+
+// form is how a kind is held when evaluated.
+type form uint8
+
+const (
+	asBool form = iota
+	asNum
+	asFloat
+	asText
+	asAddr
+	asPrefix // constants only
+)
+
+func (k Kind) form() form {
+	switch k {
+	case Bool:
+		return asBool
+	case Float:
+		return asFloat
+	case String:
+		return asText
+	case Addr:
+		return asAddr
+	case Prefix:
+		return asPrefix
+	}
+	return asNum
+}
+
+// Cell holds a value of any kind; which field counts is the kind's.
+type Cell struct {
+	N  int64
+	F  float64
+	S  string
+	A  netip.Addr
+	B  bool
+	OK bool // it is not absent
+}
+
+// Value is a cell with its kind.
+type Value struct {
+	Kind Kind
+	Cell
+	P netip.Prefix
+}
+
+// Show words a value for people.
+func (e *Env) Show(v Value) string {
+	if !v.OK {
+		return "absent"
+	}
+	switch v.Kind {
+	case Bool:
+		return strconv.FormatBool(v.B)
+	case Float:
+		return strconv.FormatFloat(v.F, 'g', -1, 64)
+	case String:
+		return strconv.Quote(v.S)
+	case Duration:
+		return time.Duration(v.N).String()
+	case Clock:
+		return time.Unix(0, v.N).UTC().Format("15:04:05")
+	case Date:
+		return day(v.N).Format(time.DateOnly)
+	case Addr:
+		return v.A.String()
+	case Prefix:
+		return v.P.String()
+	case Class:
+		return nameOf(e.Classes, v.N)
+	case Team:
+		return nameOf(e.Teams, v.N)
+	case Title:
+		return fmt.Sprintf("%016x", uint64(v.N))
+	}
+	return strconv.FormatInt(v.N, 10)
+}
+
+func nameOf(names []string, n int64) string {
+	if n < 0 || n >= int64(len(names)) {
+		return "none"
+	}
+	return names[n]
+}
+
+// day is the date that a number of days stands for.
+func day(n int64) time.Time { return time.Unix(n*86400, 0).UTC() }
+
+// The first and last dates.
+var (
+	firstDay = time.Date(1, 1, 1, 0, 0, 0, 0, time.UTC).Unix() / 86400
+	lastDay  = time.Date(9999, 12, 31, 0, 0, 0, 0, time.UTC).Unix() / 86400
+)
+
+// Var is something that expressions may refer to by its name.
+type Var struct {
+	Name     string
+	Kind     Kind
+	Optional bool
+	Most     int // bytes of a string; a longer one is absent
+	Doc      string
+}
+
+// TextVar is a family of optional strings that expressions refer to as NAME("x").
+type TextVar struct {
+	Name string
+	Most int // bytes; a longer one is absent
+	Doc  string
+}
+
+// TextRef is one of a family that a set refers to.
+type TextRef struct {
+	Family int // index into Env.Texts
+	Name   string
+}
+
+// Target is something that a rule may set.
+type Target struct {
+	Name string
+	Kind Kind
+	Sub  bool // NAME.x for any x
+	Most int  // bytes of a string
+}
+
+// Env is what the rules of a set may refer to, and their limits.
+type Env struct {
+	Classes []string
+	Teams   []string
+	Vars    []Var
+	Texts   []TextVar
+	Targets []Target
+	// Class is the position in Vars of the request's class. It is special: rules
+	// are checked, and compiled, once for each class.
+	Class int
+	// Becomes tells why a request of class from, -1 if it has none, may not be
+	// given class to.
+	Becomes func(from, to int) error
+	// Zone finds a time zone; Local is the one of clock and today.
+	Zone  func(name string) (*time.Location, error)
+	Local string
+	// Budget is the most that the evaluation of a set may cost, in steps; 0 means
+	// DefaultBudget.
+	Budget int64
+	// Trace keeps what Explain needs.
+	Trace bool
+}
+
+// Bounds of a set of rules.
+const (
+	DefaultBudget = 50_000
+	MostBudget    = 1_000_000
+
+	maxText    = 8 << 10 // bytes of an expression
+	maxNesting = 48      // of brackets, and of if and let
+	maxDepth   = 300     // of its tree
+	maxChain   = 50      // of definitions that use each other
+	maxString  = 4 << 10 // bytes of a string
+	maxArena   = 1 << 20 // bytes of all strings that a set may make for a request
+	maxPattern = 512     // bytes of a regular expression or glob
+	maxProgram = 1_000   // instructions of a compiled regular expression
+	maxRules   = 10_000
+	maxDefs    = 2_000
+	maxTables  = 200
+	maxLines   = 100_000 // of a table
+	maxAll     = 400_000 // of all tables
+	maxName    = 64
+	maxBuckets = 1 << 20
+	maxClasses = 62
+	maxTexts   = 64
+	maxZones   = 16
+)
+
+// Source is a text and where to tell what is wrong with it, by the byte at which
+// it is.
+type Source struct {
+	Text   string
+	Fault  func(at int, msg string)
+	Remark func(at int, msg string) // what is no fault but may surprise; may be nil
+}
+
+// Rule is one rule: "when CONDITION set TARGET = VALUE, …". Both parts may be
+// left out.
+type Rule struct {
+	Name string
+	Source
+}
+
+// Definition is a named expression.
+type Definition struct {
+	Name string
+	Source
+}
+
+// Table is a named look-up. Without a value's kind it is a set.
+type Table struct {
+	Name    string
+	Key     Kind
+	Value   Kind // 0: none
+	Default string
+	Lines   []Line
+	Fault   func(msg string) // of the table as a whole
+}
+
+// Line is one of a table's.
+type Line struct {
+	Key, Value string
+	Fault      func(argument int, msg string) // 0: the key, 1: the value
+}
