Route requests on both fronts by rules that swap whole on SIGHUP

Need: operators want to say which class, team, budget key and labels a request gets without a rebuild.

Change: internal/route gives a request these by a set of rules before the broker sees it; the first rule that matches counts, otherwise states the default. A class may only become one that is paid for alike and whose floor is not lower; a request without a class may be given any. The operator's file has a rules block: zone, budget, define, table, set, route, otherwise. On SIGHUP a whole set is compiled against the teams that run and then swapped; with any fault the last one stays and the log has each fault. A repeated set-up is told by what its viewer named, not by what rules made of it. On the platform there is no set.

--- a/cmd/millethinge/main.go
+++ b/cmd/millethinge/main.go
@@ -57,7 +57,7 @@
 	log = log.With(zap.String("name", cfg.Name))
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	reload := func() (config.Config, error) { return config.Load(a.getenv) }
+	reload := func(running *config.Config) (config.Config, error) { return config.Reload(a.getenv, running) }
 	at, err := server.Listen(cfg)
 	if err == nil {
 		err = server.Run(cfg, at, signals, reload, log)
--- a/internal/broker/api.go
+++ b/internal/broker/api.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"millethinge/control"
+	"millethinge/internal/route"
 )
 
 // Causes of replies and releases. Refusals say that trying again is harmless;
@@ -19,10 +20,13 @@
 // Request is a session to be set up, as a front read it. What it refers to is
 // its own, not a slice of a read buffer.
 type Request struct {
-	ID      control.SessionID
-	Class   int
-	Team    int    // position behind the platform's tenants; -1: none
-	Key     string // the title as the viewer wrote it
+	ID    control.SessionID
+	Class int
+	Team  int // position behind the platform's tenants; -1: none
+	// Named is what the viewer named itself, before rules gave it something else.
+	Named   struct{ Class, Team int }
+	Route   route.Result // by which rule, with its budget key and labels
+	Key     string       // the title as the viewer wrote it
 	Title   uint64
 	Home    int
 	Span    int
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -105,9 +105,10 @@
 	}
 }
 
-// repeats tells whether r asks for the same as s did.
+// repeats tells whether r asks for the same as s did. What it named counts, not
+// what rules made of it: they may have been swapped since.
 func (s *session) repeats(r Request) bool {
-	return s.Playing == 0 && s.Class == r.Class && s.Team == r.Team && s.Key == r.Key && s.Home == r.Home &&
+	return s.Playing == 0 && s.Named == r.Named && s.Key == r.Key && s.Home == r.Home &&
 		s.Span == r.Span && s.MaxRung == r.MaxRung && bytes.Equal(s.Description, r.Description)
 }
 
--- a/internal/conf/directive.go
+++ b/internal/conf/directive.go
@@ -125,6 +125,9 @@
 	return f.Error()
 }
 
+// At is the position of the argument that was read last, for Fault.
+func (d *Directive) At() int { return d.next }
+
 // Bad tells whether a fault of d's has been told.
 func (d *Directive) Bad() bool { return d.bad }
 
--- a/internal/conf/scan.go
+++ b/internal/conf/scan.go
@@ -193,7 +193,7 @@
 		case closing >= 0:
 			s.fault(closing, key, "} ends no block")
 		case d == nil:
-		case d.words[0].value == "include" && !d.opened:
+		case s.bare(d.words[0], "include") && !d.opened:
 			list = append(list, s.include(d, key)...)
 		default:
 			list = append(list, d)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -17,6 +18,7 @@
 	"millethinge/control"
 	"millethinge/internal/broker"
 	"millethinge/internal/directory"
+	"millethinge/internal/route"
 )
 
 // Environment variables.
@@ -81,6 +83,33 @@
 
 // Load reads the configuration of the environment that getenv tells.
 func Load(getenv func(string) string) (Config, error) {
+	return load(getenv, func(c *Config) Deployment { return c.Deployment() })
+}
+
+// LoadTraced is Load, with rules that can be explained.
+func LoadTraced(getenv func(string) string) (Config, error) {
+	return load(getenv, func(c *Config) Deployment {
+		on := c.Deployment()
+		on.Trace = true
+		return on
+	})
+}
+
+// Reload is Load for a program that runs. What rules refer to is what runs: a
+// team or a class that the files have got since waits for the next start, and a
+// rule that refers to it is a fault.
+func Reload(getenv func(string) string, running *Config) (Config, error) {
+	return load(getenv, func(*Config) Deployment { return running.InUse() })
+}
+
+// InUse is what a file that is read while the program runs may refer to.
+func (c *Config) InUse() Deployment {
+	on := c.Deployment()
+	on.Teams, on.Running = c.Teams(), true
+	return on
+}
+
+func load(getenv func(string) string, deployment func(*Config) Deployment) (Config, error) {
 	var c Config
 	path := getenv(EnvConfig)
 	if path == "" {
@@ -113,12 +142,27 @@
 	if err != nil {
 		return c, fmt.Errorf("%s: %w", EnvOperator, err)
 	}
-	c.Operator, err = ParseOperator(path, text, readBounded, c.Deployment())
+	c.Operator, err = ParseOperator(path, text, readBounded, deployment(&c))
 	return c, err
 }
 
 // Deployment is what the operator's file may refer to.
-func (c *Config) Deployment() Deployment { return Deployment{Classes: c.Classes} }
+func (c *Config) Deployment() Deployment {
+	on := Deployment{Classes: c.Classes, Teams: c.Tenants}
+	for i, k := range c.Settings.Classes {
+		on.Effects = append(on.Effects, route.Class{Name: c.Classes[i], Paid: k.Effect != control.Idempotent, Floor: k.Floor})
+	}
+	return on
+}
+
+// Teams are the names of all teams, by number: the platform's and the operator's.
+func (c *Config) Teams() []string {
+	names := slices.Clone(c.Tenants)
+	for i := range c.Operator.Teams {
+		names = append(names, c.Operator.Teams[i].Name)
+	}
+	return names
+}
 
 // Parse reads the platform's JSON.
 func Parse(text []byte) (Config, error) {
@@ -226,6 +270,9 @@
 	if len(o.Teams) > 0 {
 		fmt.Fprintf(&b, "\n%d teams", len(o.Teams))
 	}
+	if r := o.Routes; r != nil {
+		fmt.Fprintf(&b, "\n%d rules, at most %d steps a request", len(r.Rules()), r.Bound())
+	}
 	if d := o.DNSSD; d != nil {
 		fmt.Fprintf(&b, "\ndns-sd %s at %s", d.Service, d.Server)
 	}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -7,6 +7,7 @@
 
 	"millethinge/internal/broker"
 	"millethinge/internal/conf"
+	"millethinge/internal/route"
 )
 
 // Operator is what an operator's file sets. The platform has none: all of it
@@ -17,19 +18,24 @@
 	Viewers   Viewers
 	Teams     []broker.Team
 	DNSSD     *DNSSD
-	Warnings  []string // of what is no fault, each with its place
+	Routes    *route.Set // nil: requests keep what they name
+	Warnings  []string   // of what is no fault, each with its place
 }
 
 // Deployment is what an operator's file may refer to.
 type Deployment struct {
 	Classes []string
+	Effects []route.Class // the same, as rules see them
+	Teams   []string      // of the platform; if Running, all
+	Running bool          // a program runs with these teams; those of the file wait
+	Trace   bool          // rules are to be explained
 }
 
 // block is one keyword of an operator's file. A subsystem adds its own by one
 // line in blocks.
 type block func(*loader) conf.Key
 
-var blocks = []block{websocketBlock, viewersBlock, teamBlock, dnssdBlock}
+var blocks = []block{websocketBlock, viewersBlock, teamBlock, dnssdBlock, rulesBlock}
 
 // loader is an operator's file while it is read.
 type loader struct {
--- a/internal/directory/coordinator.go
+++ b/internal/directory/coordinator.go
@@ -167,10 +167,10 @@
 			continue
 		}
 		poll, cancel := context.WithCancel(ctx)
-		done := make(chan struct{})
+		done, at := make(chan struct{}), addr // addr may name the next one before the goroutine begins
 		go func() {
 			defer close(done)
-			c.poll(poll, addr)
+			c.poll(poll, at)
 		}()
 		select {
 		case <-ctx.Done():
--- a/internal/front/jsonl/jsonl.go
+++ b/internal/front/jsonl/jsonl.go
@@ -180,7 +180,7 @@
 }
 
 func (c *conn) setUp(m *message.Message) bool {
-	r, err := c.front.Catalog.Setup(m, time.Now())
+	r, err := c.front.Catalog.Setup(m, message.Origin{Front: "jsonl", Client: c.Addr, Came: time.Now()})
 	r.Client = c
 	if at := m.At(); at != nil {
 		return c.stands(m, r, directory.ServerOf(string(at)), err)
--- a/internal/front/message/message.go
+++ b/internal/front/message/message.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"errors"
 	"math"
+	"net/netip"
 	"slices"
 	"strconv"
 	"time"
@@ -13,6 +14,7 @@
 
 	"millethinge/control"
 	"millethinge/internal/broker"
+	"millethinge/internal/route"
 )
 
 // Max is the longest message.
@@ -358,6 +360,7 @@
 
 // Catalog is what a set-up's names mean at this deployment.
 type Catalog struct {
+	Routes   *route.Live // nil, or without a set: requests keep what they name
 	Classes  []string
 	Teams    []string // by tenant number
 	Cells    int
@@ -369,16 +372,34 @@
 // media node, where no message is longer than here.
 const roomOnWire = 512
 
-// Setup understands a set-up that came at a time. What lacks a figure that it
+// Origin is where a message came from.
+type Origin struct {
+	Front  string
+	Client netip.Addr
+	Came   time.Time
+}
+
+// Field returns a field's value, or nil.
+func (m *Message) Field(name string) []byte { return m.Get(name) }
+
+// Extra returns one of the figures in extras, or nil.
+func (m *Message) Extra(name string) []byte { return extra(m.Get("extras"), name) }
+
+// Setup understands a set-up, and has it routed. What lacks a figure that it
 // needs, or has one that is out of range, is an error: a node could not use it
 // either, and an error of a node's counts against the node.
-func (c *Catalog) Setup(m *Message, came time.Time) (broker.Request, error) {
-	r := broker.Request{Came: came, Class: -1, Team: -1}
+func (c *Catalog) Setup(m *Message, from Origin) (broker.Request, error) {
+	r := broker.Request{Came: from.Came, Class: -1, Team: -1}
 	var err error
 	if r.ID, err = ParseID(m.ID); err != nil {
 		return r, err
 	}
-	if r.Class = slices.Index(c.Classes, string(m.Get("class"))); r.Class < 0 {
+	var routes *route.Set
+	if c.Routes != nil {
+		routes = c.Routes.Load()
+	}
+	class := m.Get("class")
+	if r.Class = slices.Index(c.Classes, string(class)); r.Class < 0 && (len(class) > 0 || routes == nil) {
 		return r, errors.New("unknown class")
 	}
 	if name := m.Get("tenant"); len(name) > 0 {
@@ -406,6 +427,17 @@
 	if len(m.SDP) > Max-roomOnWire {
 		return r, errors.New("description too long")
 	}
+	r.Named.Class, r.Named.Team = r.Class, r.Team
+	if routes != nil {
+		r.Route = routes.Route(&route.Request{
+			Class: r.Class, Team: r.Team, Title: r.Title, Home: r.Home, Copies: r.Span, Top: r.MaxRung, Left: r.Left,
+			Retry: string(m.Get("retry")) == "1", Again: string(m.Extra("again")) == "1",
+			Front: from.Front, Client: from.Client, Came: from.Came, Texts: m,
+		})
+		if r.Class, r.Team = r.Route.Class, r.Route.Team; r.Class < 0 {
+			return r, errors.New("it names no class, and no rule gives it one")
+		}
+	}
 	r.Description = bytes.Clone(m.SDP) // it outlives the read buffer
 	return r, nil
 }
--- a/internal/front/peer/peer.go
+++ b/internal/front/peer/peer.go
@@ -9,6 +9,7 @@
 	"io"
 	"math"
 	"net"
+	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -48,6 +49,7 @@
 type Conn struct {
 	net.Conn
 	Host   string // the address at the other end, without the port
+	Addr   netip.Addr
 	log    *zap.Logger
 	out    *mailbox.Box[[]byte]
 	gone   chan struct{}
@@ -77,8 +79,12 @@
 	if open <= 0 {
 		open = DefaultOpen
 	}
+	var addr netip.Addr
+	if tcp, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
+		addr = tcp.AddrPort().Addr()
+	}
 	c := &Conn{
-		Conn: nc, Host: host, log: log, out: mailbox.New[[]byte](math.MaxInt), // bounded by waiting
+		Conn: nc, Host: host, Addr: addr, log: log, out: mailbox.New[[]byte](math.MaxInt), // bounded by waiting
 		gone: make(chan struct{}), finish: make(chan struct{}), unread: make(chan struct{}), came: time.Now(),
 		written: make(chan struct{}, 1),
 		open:    make(map[uint64]struct{}), most: open,
--- a/internal/front/websocket/websocket.go
+++ b/internal/front/websocket/websocket.go
@@ -204,7 +204,7 @@
 }
 
 func (c *conn) setUp(m *message.Message, came time.Time) error {
-	r, err := c.front.Catalog.Setup(m, came)
+	r, err := c.front.Catalog.Setup(m, message.Origin{Front: "websocket", Client: c.Addr, Came: came})
 	r.Client, r.Grace = c, c.front.Grace
 	switch {
 	case err != nil && r.ID == 0:
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"os"
 	"syscall"
@@ -14,12 +15,14 @@
 	"golang.org/x/sync/errgroup"
 
 	"millethinge/internal/broker"
+	"millethinge/internal/conf"
 	"millethinge/internal/config"
 	"millethinge/internal/directory"
 	"millethinge/internal/front/jsonl"
 	"millethinge/internal/front/message"
 	"millethinge/internal/front/websocket"
 	"millethinge/internal/media"
+	"millethinge/internal/route"
 )
 
 // Listeners are the fronts' sockets.
@@ -42,7 +45,7 @@
 // Run serves until a signal ends it and all that was taken is answered. SIGHUP
 // has it follow the coordinator that reload names.
 func Run(cfg config.Config, at Listeners, signals <-chan os.Signal,
-	reload func() (config.Config, error), log *zap.Logger) error {
+	reload func(running *config.Config) (config.Config, error), log *zap.Logger) error {
 	root, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, ctx := errgroup.WithContext(root)
@@ -76,12 +79,13 @@
 		group.Go(func() error { return discovery.Run(ctx) })
 	}
 
-	teams := cfg.Tenants
-	for _, t := range cfg.Operator.Teams {
-		teams = append(teams, t.Name)
+	routes := new(route.Live)
+	routes.Swap(cfg.Operator.Routes)
+	for _, w := range cfg.Operator.Warnings {
+		log.Warn("configuration", zap.String("remark", w))
 	}
 	catalog := message.Catalog{
-		Classes: cfg.Classes, Teams: teams,
+		Classes: cfg.Classes, Teams: cfg.Teams(), Routes: routes,
 		Cells: cfg.Settings.Cells, MaxRung: len(cfg.Settings.RatesKB) - 1, MostLeft: cfg.MostLeft,
 	}
 	front := &jsonl.Front{
@@ -106,7 +110,13 @@
 			select {
 			case s := <-signals:
 				if s == syscall.SIGHUP {
-					follow(coordinator, reload, log)
+					if next, err := reload(&cfg); err != nil {
+						keep(err, log)
+					} else {
+						coordinator.Follow(next.Coordinator)
+						routes.Swap(next.Operator.Routes)
+						told(&next, log)
+					}
 					continue
 				}
 				log.Info("draining", zap.Stringer("signal", s))
@@ -128,16 +138,29 @@
 	return group.Wait()
 }
 
-// follow reads the configuration anew and has the coordinator that it names
-// followed. Guard: one that can't be read or is faulty changes nothing.
-func follow(c *directory.Coordinator, reload func() (config.Config, error), log *zap.Logger) {
-	cfg, err := reload()
-	if err != nil {
+// keep tells why a configuration that was read anew changes nothing. Guard: one
+// that can't be read or is faulty leaves all as it is.
+func keep(err error, log *zap.Logger) {
+	var faults *conf.Faults
+	if !errors.As(err, &faults) {
 		log.Error("configuration not reloaded; the old one stays", zap.Error(err))
 		return
 	}
-	c.Follow(cfg.Coordinator)
-	log.Info("configuration reloaded", zap.String("coordinator", cfg.Coordinator))
+	for _, f := range faults.List() {
+		log.Error("configuration not reloaded; the old one stays", zap.String("fault", f.Error()))
+	}
+}
+
+// told says what has been taken of a configuration that was read anew.
+func told(cfg *config.Config, log *zap.Logger) {
+	fields := []zap.Field{zap.String("coordinator", cfg.Coordinator)}
+	if r := cfg.Operator.Routes; r != nil {
+		fields = append(fields, zap.Int("rules", len(r.Rules())), zap.Int64("most_steps", r.Bound()))
+	}
+	for _, w := range cfg.Operator.Warnings {
+		log.Warn("configuration", zap.String("remark", w))
+	}
+	log.Info("configuration reloaded", fields...)
 }
 
 // lastWrites is left for queued answers to be written before the end.
