Explain routes, pass rules over quickly, and search arrivals in order

Need: operators want to see why a request gets what it gets. Rules were slow when cold.

Change: millethinge explain tells of set-up messages which rule matched at which step, with which values, what came out and what it cost. Terms of conditions that only compare stand side by side and are tested first; a zone's offset is kept while it holds; dates are worked out without the library; IPv4 prefixes are looked up by one number. control searches arrivals by halving, with the same result.

--- a/cmd/millethinge/command.go
+++ b/cmd/millethinge/command.go
@@ -22,6 +22,7 @@
 
 	Serve      serveCmd      `cmd:"" default:"1" help:"Run the session manager. This is what runs without arguments."`
 	Check      checkCmd      `cmd:"" help:"Read the whole configuration and tell all that is wrong with it."`
+	Explain    explainCmd    `cmd:"" help:"Tell how set-up messages are routed by the rules, and what that costs."`
 	Convert    convertCmd    `cmd:"" help:"Bring an operator's file of the older JSON form into the present one."`
 	Version    versionCmd    `cmd:"" help:"Print the version."`
 	Completion completionCmd `cmd:"" help:"Print a script that completes commands and flags in a shell."`
@@ -33,6 +34,7 @@
   millethinge                                    run it, as the platform does
   millethinge --platform config.json serve       run it with this configuration
   millethinge --operator op.conf check           check an operator's file
+  millethinge --operator op.conf explain m.json  which rule a set-up matches, and why
   millethinge convert operator.json > operator.conf
   source <(millethinge completion bash)`
 
--- a/cmd/millethinge/command_test.go
+++ b/cmd/millethinge/command_test.go
@@ -121,3 +121,39 @@
 		t.Error("no error")
 	}
 }
+
+// explain tells which rule matched, with which values, what came out and what it
+// cost; a message that is none fails alone.
+func TestExplain(t *testing.T) {
+	env := map[string]string{"BALANCER_CONFIG": exampleConfig, "MILLETHINGE_OPERATOR": "../../example/operator.conf"}
+	at := []string{"explain", "--at", "2026-05-15T19:00:00-06:00", "--client", "10.4.7.9"}
+	code, out, errs := try(t, env, "", append(at, "../../example/setups.jsonl")...)
+	if code != 0 || errs != "" {
+		t.Fatalf("%d, %s", code, errs)
+	}
+	for _, want := range []string{
+		"step 1: attendants matches", `extra("till") = "desk"`, `given class feed, team norte, budget key "desk/norte-aeropuerto"`,
+		"step 3: payday matches", "payday = true", `given class clip, team sur, budget key "sur/quincena"`, `label hurry "900 ms"`, "steps of at most",
+	} {
+		if !strings.Contains(out, want) {
+			t.Errorf("no %q in\n%s", want, out)
+		}
+	}
+	good := `{"type":"setup","id":"0000000000000001","fields":{"class":"feed","left":"3000","key":"5","extras":"home:0;copies:2;top:3"}}`
+	code, out, _ = try(t, env, good+"\n{}\n"+strings.Replace(good, `"class":"feed",`, "", 1)+"\n"+strings.Replace(good, "feed", "fed", 1)+"\n", append(at, "--all")...)
+	if code != statusFailed || !strings.Contains(out, "attendants is for other classes") || !strings.Contains(out, "message 2: message: malformed") ||
+		!strings.Contains(out, "message 3: it names no class, and no rule gives it one") || !strings.Contains(out, "message 4: unknown class") {
+		t.Errorf("%d, %s", code, out)
+	}
+	for _, e := range []struct {
+		args []string
+		want string
+	}{
+		{[]string{"explain"}, "no message"}, {[]string{"explain", "--at", "noon"}, "--at"}, {[]string{"explain", "--client", "x"}, "--client"},
+		{[]string{"explain", "none.json"}, "none.json"}, {[]string{"--operator", "../../deploy/operator.example.conf", "explain"}, "has no rules"},
+	} {
+		if code, _, errs := try(t, env, "", e.args...); code != statusFailed || !strings.Contains(errs, e.want) {
+			t.Errorf("%v: %d, %s", e.args, code, errs)
+		}
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"sort"
 )
 
 // A mark is a front's own load on a pipe from a time on.
@@ -182,13 +183,10 @@
 	p.others, p.seenAt = others, t
 }
 
-// since drops the times before t.
+// since drops the times before t. They are in order, and where many viewers come
+// there are a hundred thousand.
 func since(times []float64, t float64) []float64 {
-	i := 0
-	for i < len(times) && times[i] < t {
-		i++
-	}
-	return times[i:]
+	return times[sort.SearchFloat64s(times, t):]
 }
 
 func hash(a, b uint64) uint64 {
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -375,3 +375,42 @@
 		t.Error("the clock stepped back")
 	}
 }
+
+// BenchmarkDecide is a session's whole way through the broker and the module: it
+// arrives, is set up, is answered and ends.
+func BenchmarkDecide(b *testing.B) {
+	f := &silent{}
+	br, err := New(Config{Settings: settings(), Seed: 1, Nodes: f, Log: zap.NewNop()})
+	if err != nil {
+		b.Fatal(err)
+	}
+	var entries []control.Entry
+	for i := range 16 {
+		entries = append(entries, control.Entry{Server: control.Server(i + 1), State: control.Ready, Weight: 1})
+	}
+	br.handle(List{Entries: entries})
+	id := control.SessionID(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		id++
+		br.handle(Request{ID: id, Class: feed, Team: -1, Title: uint64(id), Span: 1, MaxRung: 2, Left: 3 * time.Second, Came: time.Now(), Client: f})
+		s := br.sessions[id]
+		if s == nil {
+			b.Fatal("refused")
+		}
+		br.handle(Report{Kind: Started, ID: id, Server: s.server, Number: s.attempt})
+		br.handle(Report{Kind: Ended, ID: id, Server: s.server, Number: s.attempt, Cause: CauseEnded})
+		br.expire()
+	}
+}
+
+// silent is nodes and a client that note nothing.
+type silent struct{}
+
+func (silent) SetUp(control.Server, Attempt) bool                  { return true }
+func (silent) GiveUp(control.Server, control.SessionID, int, bool) {}
+func (silent) Stands(control.Server, control.SessionID) bool       { return true }
+func (silent) Release(control.Server, control.SessionID, int)      {}
+func (silent) SetRung(control.Server, control.SessionID, int)      {}
+func (silent) Probe(control.Server)                                {}
+func (silent) Deliver(Reply) bool                                  { return true }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"millethinge/internal/broker"
+	"millethinge/internal/route"
 )
 
 func example(t *testing.T) string {
@@ -100,6 +101,40 @@
 	}
 }
 
+// The rules block tells its faults where they are in the file, included files'
+// too, and warns of what may surprise.
+func TestRules(t *testing.T) {
+	on := deployment
+	on.Effects = []route.Class{{Name: "clip", Paid: true, Floor: 1}, {Name: "feed"}}
+	text := "rules {\n    include more\n    zone America/Mexico_City\n    route a when class == feed and \\\n        copies > tw set team = x\n    otherwise set team = x\n}\nteam x {\n}\n"
+	open := func(path string) ([]byte, error) {
+		return []byte("define two 2\ntable owner title -> team default none {\n    zz x\n    1 y\n    2\n}\nset vip tittle {\n    1\n}\nroute b\nroute a when true\n"), nil
+	}
+	_, err := ParseOperator("op", []byte(text), open, on)
+	for _, want := range []string{
+		"op:5:18: rules.route: unknown name \"tw\"; did you mean \"two\"?\n            copies > tw set team = x\n                     ^",
+		`more:3:5: rules.table.owner.zz: "zz" is no title`, `more:4:7: rules.table.owner.1: "y" is no team of this deployment`, "more:5:6: rules.table.owner.2: wants a value",
+		`more:7:9: rules.set: "tittle" is no kind`, "more:10:8: rules.route: wants when CONDITION set TARGET = VALUE", `op:4:11: rules.route: "a" is used twice`,
+	} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("no %q in\n%v", want, err)
+		}
+	}
+	good := "team x {\n}\nrules {\n budget 300\n define who if team == none then x else team\n route a when retry set team = who\n route b when retry and copies > 1 set team = none\n}\n"
+	o, err := ParseOperator("op", []byte(good), nil, on)
+	if err != nil || len(o.Routes.Rules()) != 2 || len(o.Warnings) != 1 || !strings.Contains(o.Warnings[0], "op:7:10: rules.route: never reached: rule a takes all its requests") {
+		t.Errorf("%v, %q", err, o.Warnings)
+	}
+	if _, err := ParseOperator("op", []byte(strings.Replace(good, "300", "5", 1)), nil, on); err == nil || !strings.Contains(err.Error(), "its budget is 5") {
+		t.Error(err)
+	}
+	// While the program runs, a team that the file has got waits for the next start.
+	on.Running, on.Teams = true, []string{"y"}
+	if _, err := ParseOperator("op", []byte(good), nil, on); err == nil || !strings.Contains(err.Error(), `unknown name "x"`) {
+		t.Error(err)
+	}
+}
+
 // A file of the older form comes over whole, also with odd names.
 func TestConvert(t *testing.T) {
 	old := `{"websocket": {"listen": "127.0.0.1:5080", "path": "/s", "grace_ms": 1500},
--- a/internal/front/message/message.go
+++ b/internal/front/message/message.go
@@ -27,6 +27,9 @@
 // ErrSyntax reports bytes that are no message.
 var ErrSyntax = errors.New("message: malformed")
 
+// ErrNoClass reports a set-up that has no class, neither of its own nor by rules.
+var ErrNoClass = errors.New("it names no class, and no rule gives it one")
+
 // Field is one of a message's fields, a string's or a number's text.
 type Field struct{ Name, Value []byte }
 
@@ -385,21 +388,48 @@
 // Extra returns one of the figures in extras, or nil.
 func (m *Message) Extra(name string) []byte { return extra(m.Get("extras"), name) }
 
-// Setup understands a set-up, and has it routed. What lacks a figure that it
-// needs, or has one that is out of range, is an error: a node could not use it
-// either, and an error of a node's counts against the node.
+// Setup understands a set-up, and has it routed.
 func (c *Catalog) Setup(m *Message, from Origin) (broker.Request, error) {
-	r := broker.Request{Came: from.Came, Class: -1, Team: -1}
-	var err error
-	if r.ID, err = ParseID(m.ID); err != nil {
+	r, err := c.Read(m, from)
+	if err != nil {
 		return r, err
 	}
 	var routes *route.Set
 	if c.Routes != nil {
 		routes = c.Routes.Load()
 	}
+	if routes != nil {
+		r.Route = routes.Route(Routed(m, &r, from))
+		r.Class, r.Team = r.Route.Class, r.Route.Team
+	}
+	if r.Class < 0 {
+		return r, ErrNoClass
+	}
+	r.Description = bytes.Clone(m.SDP) // it outlives the read buffer
+	return r, nil
+}
+
+// Routed is a set-up as rules look at it.
+func Routed(m *Message, r *broker.Request, from Origin) *route.Request {
+	return &route.Request{
+		Class: r.Class, Team: r.Team, Title: r.Title, Home: r.Home, Copies: r.Span, Top: r.MaxRung, Left: r.Left,
+		Retry: string(m.Get("retry")) == "1", Again: string(m.Extra("again")) == "1",
+		Front: from.Front, Client: from.Client, Came: from.Came, Texts: m,
+	}
+}
+
+// Read understands what a set-up names, but for its description. It may name no
+// class. What lacks a figure that it needs, or has one that is out of range, is an
+// error: a node could not use it either, and an error of a node's counts against
+// the node.
+func (c *Catalog) Read(m *Message, from Origin) (broker.Request, error) {
+	r := broker.Request{Came: from.Came, Class: -1, Team: -1}
+	var err error
+	if r.ID, err = ParseID(m.ID); err != nil {
+		return r, err
+	}
 	class := m.Get("class")
-	if r.Class = slices.Index(c.Classes, string(class)); r.Class < 0 && (len(class) > 0 || routes == nil) {
+	if r.Class = slices.Index(c.Classes, string(class)); r.Class < 0 && len(class) > 0 {
 		return r, errors.New("unknown class")
 	}
 	if name := m.Get("tenant"); len(name) > 0 {
@@ -428,17 +458,6 @@
 		return r, errors.New("description too long")
 	}
 	r.Named.Class, r.Named.Team = r.Class, r.Team
-	if routes != nil {
-		r.Route = routes.Route(&route.Request{
-			Class: r.Class, Team: r.Team, Title: r.Title, Home: r.Home, Copies: r.Span, Top: r.MaxRung, Left: r.Left,
-			Retry: string(m.Get("retry")) == "1", Again: string(m.Extra("again")) == "1",
-			Front: from.Front, Client: from.Client, Came: from.Came, Texts: m,
-		})
-		if r.Class, r.Team = r.Route.Class, r.Route.Team; r.Class < 0 {
-			return r, errors.New("it names no class, and no rule gives it one")
-		}
-	}
-	r.Description = bytes.Clone(m.SDP) // it outlives the read buffer
 	return r, nil
 }
 
--- a/internal/front/message/message_test.go
+++ b/internal/front/message/message_test.go
@@ -98,3 +98,29 @@
 		}
 	})
 }
+
+// BenchmarkParse reads a set-up and understands what it names.
+func BenchmarkParse(b *testing.B) {
+	catalog := Catalog{Classes: []string{"clip", "feed"}, Cells: 16, MaxRung: 3, MostLeft: time.Minute}
+	line := []byte(`{"type":"setup","id":"9b1f03aa5c7e2d41","fields":{"class":"clip","left":"1500","key":"7f3a9c21e0b4d655","extras":"home:4;copies:3;top:3;viewer:00000000b4d65521"},"sdp":"9d41c07a5be2f318 c=IN IP4 10.4.7.9 m=audio 31000 RTP/AVP 0 8 101"}`)
+	var m Message
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := Parse(line, &m); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := catalog.Setup(&m, Origin{}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkWrite writes an answer.
+func BenchmarkWrite(b *testing.B) {
+	r := broker.Reply{Kind: broker.Served, ID: 7, Description: []byte("9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n")}
+	var buf []byte
+	b.ReportAllocs()
+	for b.Loop() {
+		buf = AppendReply(buf[:0], r)
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -142,8 +142,13 @@
 	set    *rules.Set
 	frames sync.Pool
 	may    [][]bool // by class + 1: what it may become
+	took   func(time.Duration)
 }
 
+// Observe has took called with the time that each evaluation took, by whoever
+// routes. It is to be called before the set is used.
+func (s *Set) Observe(took func(time.Duration)) { s.took = took }
+
 // Compile reads a set for a deployment. What is wrong is told to the faulty
 // source; then it returns nil.
 func Compile(src Source, on Deployment) *Set {
@@ -199,9 +204,16 @@
 // request that none matches keeps what it named.
 func (s *Set) Route(r *Request) Result {
 	f := s.frames.Get().(*rules.Frame)
+	var begun time.Time
+	if s.took != nil {
+		begun = time.Now()
+	}
 	s.begin(f, r)
 	rule := s.set.Evaluate(f)
 	out := s.result(f, r, rule)
+	if s.took != nil {
+		s.took(time.Since(begun))
+	}
 	s.frames.Put(f)
 	return out
 }
--- a/internal/rules/arith.go
+++ b/internal/rules/arith.go
@@ -294,3 +294,26 @@
 	}
 	return j == len(p)
 }
+
+// civil is the year, month and day of a date. The years begin in March, so that
+// the odd day of a leap year comes last, and go by periods of 400 years.
+func civil(days int64) (year, month, day int64) {
+	days += 719468 // from 0000-03-01
+	era := days / 146097
+	if days < 0 {
+		era = (days - 146096) / 146097
+	}
+	n := days - era*146097
+	y := (n - n/1460 + n/36524 - n/146096) / 365
+	of := n - (365*y + y/4 - y/100)
+	m := (5*of + 2) / 153
+	day = of - (153*m+2)/5 + 1
+	if month = m + 3; month > 12 {
+		month -= 12
+	}
+	year = y + era*400
+	if month <= 2 {
+		year++
+	}
+	return year, month, day
+}
--- a/internal/rules/explain.go
+++ b/internal/rules/explain.go
@@ -120,16 +120,17 @@
 	if v := s.env.Class; v >= 0 {
 		p = &s.programs[f.vars[v].N+1]
 	}
-	at := 0
+	at, quick := 0, 0
 	for i, t := range s.trace {
 		if rule >= 0 && i > rule {
 			break
 		}
 		one := Step{Rule: s.names[i], When: t.source.Text}
-		if at < len(p.steps) && p.steps[at].rule == i {
+		if at < len(p.steps) && int(p.steps[at].rule) == i {
 			f.cost = 0
-			one.Match = p.steps[at].when == nil || p.steps[at].when(f)
-			one.Cost = f.cost + 1
+			one.Match = p.matches(f, at, quick)
+			one.Cost = f.cost
+			quick += int(p.steps[at].quick)
 			at++
 		} else {
 			one.Skips = true
--- a/internal/rules/frame.go
+++ b/internal/rules/frame.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"math"
 	"time"
 	"unicode/utf8"
 	"unsafe"
@@ -24,6 +25,9 @@
 type zoneTime struct {
 	turn        uint32
 	clock, date int64
+	// The offset from UTC, and from when until when it holds: asked for once, and
+	// not for each request.
+	offset, from, until int64
 }
 
 // Setting is one thing that the matching rule sets.
@@ -58,7 +62,9 @@
 func (f *Frame) forget() {
 	if f.turn++; f.turn == 0 { // it has gone round
 		clear(f.turns)
-		clear(f.zones)
+		for i := range f.zones {
+			f.zones[i].turn = 0
+		}
 		f.turn = 1
 	}
 }
@@ -108,16 +114,31 @@
 func (f *Frame) zone(i int) *zoneTime {
 	z := &f.zones[i]
 	if z.turn != f.turn {
-		t := f.now.In(f.set.zones[i].loc)
-		_, offset := t.Zone()
-		local := t.Unix() + int64(offset)
+		now := f.now.Unix()
+		if now < z.from || now >= z.until {
+			z.ask(f.now.In(f.set.zones[i].loc))
+		}
+		local := now + z.offset
 		days := local / 86400
 		if local%86400 < 0 {
 			days--
 		}
 		z.turn = f.turn
 		z.date = onDate(days)
-		z.clock = (local-days*86400)*int64(time.Second) + int64(t.Nanosecond())
+		z.clock = (local-days*86400)*int64(time.Second) + int64(f.now.Nanosecond())
 	}
 	return z
 }
+
+// ask learns the offset that holds at t.
+func (z *zoneTime) ask(t time.Time) {
+	_, offset := t.Zone()
+	z.offset, z.from, z.until = int64(offset), math.MinInt64, math.MaxInt64
+	from, until := t.ZoneBounds()
+	if !from.IsZero() {
+		z.from = from.Unix()
+	}
+	if !until.IsZero() {
+		z.until = until.Unix()
+	}
+}
--- a/internal/rules/function.go
+++ b/internal/rules/function.go
@@ -193,8 +193,13 @@
 			},
 			boolean: func(k *compiler, n *node) fn[bool] {
 				s, re, insts := k.text(n.kids[0]), n.re, int64(n.insts)
+				empty := re.MatchString("") // many texts are absent, and need no machine
 				return func(f *Frame) bool {
 					v := s(f)
+					if v == "" {
+						f.cost++
+						return empty
+					}
 					f.cost += 20 + insts*int64(len(v)+1)
 					return re.MatchString(v)
 				}
@@ -454,17 +459,20 @@
 		},
 		"clock": inZone("clock", "the time of day there"),
 		"today": inZone("today", "the date there"),
-		"day":   calendar("day", "of the month, from 1", Int, func(t time.Time) int64 { return int64(t.Day()) }),
-		"month": calendar("month", "from 1", Int, func(t time.Time) int64 { return int64(t.Month()) }),
-		"year":  calendar("year", "", Int, func(t time.Time) int64 { return int64(t.Year()) }),
-		"weekday": calendar("weekday", "from 1, Monday, to 7, Sunday", Int, func(t time.Time) int64 {
-			return int64(t.Weekday()+6)%7 + 1
+		"day":   calendar("day", "of the month, from 1", Int, func(n int64) int64 { _, _, d := civil(n); return d }),
+		"month": calendar("month", "from 1", Int, func(n int64) int64 { _, m, _ := civil(n); return m }),
+		"year":  calendar("year", "", Int, func(n int64) int64 { y, _, _ := civil(n); return y }),
+		"weekday": calendar("weekday", "from 1, Monday, to 7, Sunday", Int, func(n int64) int64 {
+			return ((n+3)%7+7)%7 + 1 // day 0 was a Thursday
 		}),
-		"last_day": calendar("last_day", "whether it ends its month", Bool, func(t time.Time) int64 {
-			return truth(t.AddDate(0, 0, 1).Day() == 1)
+		"last_day": calendar("last_day", "whether it ends its month", Bool, func(n int64) int64 {
+			_, _, next := civil(n + 1)
+			return truth(next == 1)
 		}),
-		"quincena": calendar("quincena", "whether it is the 15th or ends its month", Bool, func(t time.Time) int64 {
-			return truth(t.Day() == 15 || t.AddDate(0, 0, 1).Day() == 1)
+		"quincena": calendar("quincena", "whether it is the 15th or ends its month", Bool, func(n int64) int64 {
+			_, _, d := civil(n)
+			_, _, next := civil(n + 1)
+			return truth(d == 15 || next == 1)
 		}),
 		"hour":   ofClock("hour", time.Hour, 24),
 		"minute": ofClock("minute", time.Minute, 60),
@@ -613,7 +621,7 @@
 }
 
 // calendar is a property of a date.
-func calendar(name, doc string, k Kind, of func(time.Time) int64) *function {
+func calendar(name, doc string, k Kind, of func(days int64) int64) *function {
 	f := &function{
 		usage: name + "(DATE)", doc: doc, cost: flat(15),
 		check: func(c *checker, at int, args []*node) *node {
@@ -625,7 +633,7 @@
 	}
 	value := func(k *compiler, n *node) fn[int64] {
 		x := k.num(n.kids[0])
-		return func(f *Frame) int64 { f.cost += 15; return of(day(x(f))) }
+		return func(f *Frame) int64 { f.cost += 15; return of(x(f)) }
 	}
 	if f.num = value; k == Bool {
 		f.boolean = func(k *compiler, n *node) fn[bool] {
--- a/internal/rules/property_test.go
+++ b/internal/rules/property_test.go
@@ -314,11 +314,17 @@
 		}
 	case Prefix:
 		best, found := -1, -1
-		for p, row := range x.prefixes {
+		each := func(p netip.Prefix, row int32) {
 			if p.Contains(key.A) && p.Bits() > best {
 				best, found = p.Bits(), int(row)
 			}
 		}
+		for p, row := range x.prefixes {
+			each(p, row)
+		}
+		for k, row := range x.short {
+			each(netip.PrefixFrom(netip.AddrFrom4([4]byte{byte(k >> 32), byte(k >> 24), byte(k >> 16), byte(k >> 8)}), int(k&255)), row)
+		}
 		return found
 	default:
 		for n, row := range x.nums {
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -517,3 +517,32 @@
 		t.Error("odd kinds")
 	}
 }
+
+// Dates are the standard library's, from the first to the last, and clocks go by
+// the zone's changes.
+func TestCalendar(t *testing.T) {
+	for n := firstDay; n <= lastDay; n += 17 {
+		y, m, d := civil(n)
+		if want := day(n); y != int64(want.Year()) || m != int64(want.Month()) || d != int64(want.Day()) {
+			t.Fatalf("day %d: %d-%d-%d, want %v", n, y, m, d, want)
+		}
+	}
+	env := testEnv()
+	env.Local = "Europe/Berlin" // the clocks change there
+	_, s, told := read(env, nil, nil, `set label.a = text(hour(clock)) + ":" + text(minute(clock)) + " " + text(day(today)) + " " + text(hour(clock("America/Mexico_City")))`)
+	if s == nil {
+		t.Fatal(told.faults)
+	}
+	f := s.NewFrame()
+	berlin, _ := time.LoadLocation("Europe/Berlin")
+	mexico, _ := time.LoadLocation("America/Mexico_City")
+	for i := range 2000 {
+		now := time.Date(2026, 3, 29, 0, 0, 0, 0, time.UTC).Add(time.Duration(i*i%9973) * 53 * time.Minute)
+		f.Begin(now)
+		s.Evaluate(f)
+		at := now.In(berlin)
+		if got, want := f.Settings()[0].S, fmt.Sprintf("%d:%d %d %d", at.Hour(), at.Minute(), at.Day(), now.In(mexico).Hour()); got != want {
+			t.Fatalf("%v: %s, want %s", at, got, want)
+		}
+	}
+}
--- a/internal/rules/set.go
+++ b/internal/rules/set.go
@@ -26,13 +26,35 @@
 // match, with what doesn't depend on the request worked out.
 type program struct {
 	steps []step
+	rest  []fn[bool] // by step: the terms that are not quick; nil: there are none
+	set   [][]setter // by step
+	quick []quick
+	words []string
+	work  []func(*Frame) // by slot: what quick terms look at
 	bound int64
 }
 
+// step is one rule. It is small, so that going over many is quick.
 type step struct {
-	rule int
-	when fn[bool] // nil: always
-	set  []setter
+	rule  uint16
+	quick uint8 // how many of the program's quick terms are its own
+	rest  bool  // it has other terms
+}
+
+// mostQuick is how many quick terms a step can have.
+const mostQuick = 255
+
+// matches tells whether the rule of step i matches; at is where its quick terms
+// begin.
+func (p *program) matches(f *Frame, i, at int) bool {
+	f.cost++
+	st := p.steps[i]
+	for j := range int(st.quick) {
+		if !p.holds(f, &p.quick[at+j]) {
+			return false
+		}
+	}
+	return !st.rest || p.rest[i](f)
 }
 
 // setter sets one target.
@@ -62,23 +84,24 @@
 		}
 		p = &s.programs[c.N+1]
 	}
+	at := 0
 	for i := range p.steps {
-		st := &p.steps[i]
-		f.cost++
-		if st.when != nil && !st.when(f) {
+		from := at
+		at += int(p.steps[i].quick)
+		if !p.matches(f, i, from) {
 			continue
 		}
 		if f.cost > s.budget {
 			break // Guard: the bound was checked when the set was read; this holds it
 		}
-		for j := range st.set {
-			g := &st.set[j]
+		for j := range p.set[i] {
+			g := &p.set[i][j]
 			f.out = append(f.out, g.fixed)
 			if g.fill != nil {
 				g.fill(f, &f.out[len(f.out)-1])
 			}
 		}
-		return st.rule
+		return int(p.steps[i].rule)
 	}
 	return -1
 }
@@ -340,7 +363,9 @@
 		}
 	}
 	for i, r := range list {
-		st := step{rule: i}
+		st := step{rule: uint16(i)}
+		var rest fn[bool]
+		var set []setter
 		when := folded[i]
 		if when != nil && when.isFalse() {
 			continue
@@ -352,7 +377,9 @@
 			out.bound = addCost(out.bound, when.total(seen))
 			made += when.made(seenMade)
 			if k != nil {
-				st.when = k.boolean(when)
+				var n int
+				n, rest = out.split(k, when)
+				st.quick, st.rest = uint8(n), rest != nil
 			}
 		}
 		out.bound = addCost(out.bound, 1)
@@ -366,17 +393,17 @@
 				told[r] = !b.becomes(r, a, class, value)
 			}
 			if k != nil {
-				st.set = append(st.set, setterOf(k, a, value))
+				set = append(set, setterOf(k, a, value))
 			}
 		}
 		most, mostMade = max(most, cost), max(mostMade, bytes)
-		out.steps = append(out.steps, st)
+		out.steps, out.rest, out.set = append(out.steps, st), append(out.rest, rest), append(out.set, set)
 		if always {
 			cover.rest(i)
 			break // what follows is never reached
 		}
 	}
-	out.steps = slices.Clip(out.steps)
+	out.steps, out.quick = slices.Clip(out.steps), slices.Clip(out.quick)
 	out.bound = addCost(out.bound, addCost(most, 1))
 	return out, made + mostMade
 }
--- a/internal/rules/table.go
+++ b/internal/rules/table.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"encoding/binary"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -16,8 +17,9 @@
 	kind     Kind // of the keys
 	nums     map[int64]int32
 	texts    map[string]int32
-	prefixes map[netip.Prefix]int32
-	lengths  [2][]int // of prefixes, the longest first, for IPv4 and IPv6
+	prefixes map[netip.Prefix]int32 // of IPv6
+	short    map[uint64]int32       // prefixes of IPv4, by shortKey
+	lengths  [2][]int               // of prefixes, the longest first, for IPv4 and IPv6
 }
 
 func newIndex(kind Kind, n int) *index {
@@ -26,7 +28,8 @@
 	case String:
 		x.texts = make(map[string]int32, n)
 	case Prefix:
-		x.prefixes = make(map[netip.Prefix]int32, n)
+		x.prefixes = make(map[netip.Prefix]int32)
+		x.short = make(map[uint64]int32, n)
 	default:
 		x.nums = make(map[int64]int32, n)
 	}
@@ -42,12 +45,18 @@
 		}
 		x.texts[v.S] = row
 	case Prefix:
-		if _, ok := x.prefixes[v.P]; ok {
-			return false
-		}
-		x.prefixes[v.P] = row
 		family := 0
-		if v.P.Addr().Is6() {
+		if v.P.Addr().Is4() {
+			key := shortKey(v.P.Addr(), v.P.Bits())
+			if _, ok := x.short[key]; ok {
+				return false
+			}
+			x.short[key] = row
+		} else {
+			if _, ok := x.prefixes[v.P]; ok {
+				return false
+			}
+			x.prefixes[v.P] = row
 			family = 1
 		}
 		if l := &x.lengths[family]; !slices.Contains(*l, v.P.Bits()) {
@@ -80,12 +89,16 @@
 // addr finds the longest prefix that holds an address.
 func (x *index) addr(a netip.Addr) int32 {
 	a = a.Unmap()
-	family := 0
-	if a.Is6() {
-		family = 1
-		a = a.WithZone("")
+	if a.Is4() {
+		for _, bits := range x.lengths[0] {
+			if row, ok := x.short[shortKey(a, bits)]; ok {
+				return row
+			}
+		}
+		return -1
 	}
-	for _, bits := range x.lengths[family] {
+	a = a.WithZone("")
+	for _, bits := range x.lengths[1] {
 		if p, err := a.Prefix(bits); err == nil {
 			if row, ok := x.prefixes[p]; ok {
 				return row
@@ -95,6 +108,12 @@
 	return -1
 }
 
+// shortKey is an IPv4 address's first bits, with their number.
+func shortKey(a netip.Addr, bits int) uint64 {
+	b := a.As4()
+	return uint64(binary.BigEndian.Uint32(b[:])>>(32-bits)<<(32-bits))<<8 | uint64(bits)
+}
+
 // cost is the most steps of one look-up by a key of up to most bytes.
 func (x *index) cost(most int) int64 {
 	switch x.kind {
--- a/internal/server/exchange_test.go
+++ b/internal/server/exchange_test.go
@@ -50,6 +50,12 @@
 }
 
 func start(t *testing.T, coordinator, members string, cells int, operator string) *program {
+	t.Helper()
+	return startWith(t, coordinator, members, cells, operator, func(*config.Config) {})
+}
+
+// startWith lets a test change the configuration that was read.
+func startWith(t *testing.T, coordinator, members string, cells int, operator string, change func(*config.Config)) *program {
 	t.Helper()
 	cfg, err := config.Parse(fmt.Appendf(nil, platform, coordinator, members, cells))
 	if err == nil && operator != "" {
@@ -58,6 +64,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	change(&cfg)
 	cfg.Drain = broker.Drain{Take: patience, Stay: 900 * time.Millisecond} // whatever the machine's pace
 	p := &program{signals: make(chan os.Signal, 1), reload: make(chan string, 1), done: make(chan error, 1)}
 	if p.at, err = Listen(cfg); err != nil {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -84,10 +84,8 @@
 	for _, w := range cfg.Operator.Warnings {
 		log.Warn("configuration", zap.String("remark", w))
 	}
-	catalog := message.Catalog{
-		Classes: cfg.Classes, Teams: cfg.Teams(), Routes: routes,
-		Cells: cfg.Settings.Cells, MaxRung: len(cfg.Settings.RatesKB) - 1, MostLeft: cfg.MostLeft,
-	}
+	catalog := Catalog(&cfg)
+	catalog.Routes = routes
 	front := &jsonl.Front{
 		Core: core, Catalog: catalog, MaxConns: cfg.ViewerConns(),
 		MostOpen: cfg.Operator.Viewers.MostOpen, Reasons: cfg.Operator.Viewers.Reasons, Log: log,
@@ -138,6 +136,14 @@
 	return group.Wait()
 }
 
+// Catalog is what the names of a set-up mean by a configuration.
+func Catalog(cfg *config.Config) message.Catalog {
+	return message.Catalog{
+		Classes: cfg.Classes, Teams: cfg.Teams(),
+		Cells: cfg.Settings.Cells, MaxRung: len(cfg.Settings.RatesKB) - 1, MostLeft: cfg.MostLeft,
+	}
+}
+
 // keep tells why a configuration that was read anew changes nothing. Guard: one
 // that can't be read or is faulty leaves all as it is.
 func keep(err error, log *zap.Logger) {
