--- a/cmd/millethinge/command_test.go
+++ b/cmd/millethinge/command_test.go
@@ -150,7 +150,7 @@
 		want string
 	}{
 		{[]string{"explain"}, "no message"}, {[]string{"explain", "--at", "noon"}, "--at"}, {[]string{"explain", "--client", "x"}, "--client"},
-		{[]string{"explain", "none.json"}, "none.json"}, {[]string{"--operator", "../../deploy/operator.example.conf", "explain"}, "has no rules"},
+		{[]string{"explain", "none.json"}, "none.json"}, {[]string{"--operator", written(t, "none.conf", "viewers {\n}\n"), "explain"}, "has no rules"},
 	} {
 		if code, _, errs := try(t, env, "", e.args...); code != statusFailed || !strings.Contains(errs, e.want) {
 			t.Errorf("%v: %d, %s", e.args, code, errs)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -148,9 +148,9 @@
 
 // Deployment is what the operator's file may refer to.
 func (c *Config) Deployment() Deployment {
-	on := Deployment{Classes: c.Classes, Teams: c.Tenants}
+	on := Deployment{Teams: c.Tenants}
 	for i, k := range c.Settings.Classes {
-		on.Effects = append(on.Effects, route.Class{Name: c.Classes[i], Paid: k.Effect != control.Idempotent, Floor: k.Floor})
+		on.Classes = append(on.Classes, route.Class{Name: c.Classes[i], Paid: k.Effect != control.Idempotent, Floor: k.Floor})
 	}
 	return on
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -53,7 +53,7 @@
 	}
 }
 
-var deployment = Deployment{Classes: []string{"clip", "feed"}}
+var deployment = Deployment{Classes: []route.Class{{Name: "clip", Paid: true, Floor: 1}, {Name: "feed"}}}
 
 func operatorExample(t *testing.T) string {
 	t.Helper()
@@ -68,7 +68,7 @@
 	text := operatorExample(t)
 	o, err := ParseOperator("op", []byte(text), nil, deployment)
 	if err != nil || o.WebSocket.Grace != 3*time.Second || len(o.Teams) != 2 || o.Teams[0].Classes[0] || !o.Teams[0].Classes[1] ||
-		o.Teams[1].SetUps != 4000 || o.Teams[1].Period != time.Hour || o.DNSSD.Service == "" || o.Viewers.MostOpen != 512 || !o.Viewers.Reasons {
+		o.Teams[1].SetUps != 4000 || o.Teams[1].Period != time.Hour || o.DNSSD.Service == "" || o.Viewers.MostOpen != 512 || !o.Viewers.Reasons || len(o.Routes.Rules()) != 2 {
 		t.Errorf("%+v, %v", o, err)
 	}
 	for _, e := range [][3]string{
@@ -105,7 +105,6 @@
 // too, and warns of what may surprise.
 func TestRules(t *testing.T) {
 	on := deployment
-	on.Effects = []route.Class{{Name: "clip", Paid: true, Floor: 1}, {Name: "feed"}}
 	text := "rules {\n    include more\n    zone America/Mexico_City\n    route a when class == feed and \\\n        copies > tw set team = x\n    otherwise set team = x\n}\nteam x {\n}\n"
 	open := func(path string) ([]byte, error) {
 		return []byte("define two 2\ntable owner title -> team default none {\n    zz x\n    1 y\n    2\n}\nset vip tittle {\n    1\n}\nroute b\nroute a when true\n"), nil
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -24,11 +24,10 @@
 
 // Deployment is what an operator's file may refer to.
 type Deployment struct {
-	Classes []string
-	Effects []route.Class // the same, as rules see them
-	Teams   []string      // of the platform; if Running, all
-	Running bool          // a program runs with these teams; those of the file wait
-	Trace   bool          // rules are to be explained
+	Classes []route.Class
+	Teams   []string // of the platform; if Running, all
+	Running bool     // a program runs with these teams; those of the file wait
+	Trace   bool     // rules are to be explained
 }
 
 // block is one keyword of an operator's file. A subsystem adds its own by one
@@ -86,8 +85,12 @@
 // classes reads the rest of a line as names of classes.
 func (l *loader) classes(d *conf.Directive) []bool {
 	set := make([]bool, len(l.on.Classes))
+	var names []string
+	for _, c := range l.on.Classes {
+		names = append(names, c.Name)
+	}
 	for first := true; first || d.More(); first = false {
-		if i := d.OneOf("a class of this deployment", l.on.Classes...); i >= 0 {
+		if i := d.OneOf("a class of this deployment", names...); i >= 0 {
 			set[i] = true
 		}
 	}
--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -55,7 +55,7 @@
 // routes is what rules may refer to: the teams that run, or at the start those of
 // the file.
 func (on Deployment) routes(o Operator) route.Deployment {
-	to := route.Deployment{Classes: on.Effects, Teams: on.Teams}
+	to := route.Deployment{Classes: on.Classes, Teams: on.Teams}
 	if !on.Running {
 		for i := range o.Teams {
 			to.Teams = append(to.Teams[:len(to.Teams):len(to.Teams)], o.Teams[i].Name)
