Tell from arrivals whether an announced peak comes, and how long sessions last

Need: room is to be held for announced peaks, opened when one comes early and given back when it doesn't come. First it has to be known when one is due, whether it comes, and how long what is admitted before it stays.

Change: internal/peaks, no I/O.

Lengths: 45.5 s true, within 1.5, where half are cut short and a plain mean is under 44.

--- /dev/null
+++ b/internal/peaks/show_test.go
@@ -0,0 +1,196 @@
+package peaks
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// occurrence is one of a peak that doubles what comes.
+func occurrence(ramp time.Duration) Occurrence {
+	p := &Peak{Name: "p", Ramp: ramp, Lead: 2 * time.Minute, Early: 10 * time.Minute, Length: 20 * time.Minute}
+	begin := time.Unix(1_800_000_000, 0)
+	return Occurrence{Peak: p, Begin: begin, End: begin.Add(p.Length)}
+}
+
+// watch ticks a show each second of a day on which base sessions a second come,
+// and more at what level tells. Counts vary as spread says.
+func watch(o Occurrence, seed uint64, base, more, spread float64, level func(time.Time) float64, each func(time.Time, State)) *Show {
+	s := NewShow(o, DefaultErrors)
+	src := rand.NewPCG(seed, 1)
+	for now := o.Begin.Add(-15 * time.Minute); now.Before(o.End.Add(2 * time.Minute)); now = now.Add(time.Second) {
+		// A negative binomial of that mean and spread: a mixture of Poissons.
+		mean := base + more*level(now)
+		if spread > 1 {
+			mean = distuv.Gamma{Alpha: mean / (spread - 1), Beta: 1 / (spread - 1), Src: src}.Rand()
+		}
+		n := int(distuv.Poisson{Lambda: mean, Src: src}.Rand())
+		st := s.Tick(now, n, base, more)
+		if each != nil {
+			each(now, st)
+		}
+	}
+	return s
+}
+
+// TestShow holds what a show decides, and when, against days of which the truth is
+// known, at the error rates that it states. 400 days of each kind, fixed seeds.
+func TestShow(t *testing.T) {
+	const days = 400
+	for name, e := range map[string]struct {
+		base, more float64
+		ramp       time.Duration
+		level      func(o Occurrence, t time.Time) float64
+		want       State
+		wrong      float64 // most part of the days with another outcome
+		within     time.Duration
+		from       func(o Occurrence) time.Time
+	}{
+		"as announced":    {3.7, 3.7, 0, func(o Occurrence, t time.Time) float64 { return o.Level(t) }, Came, 0.02, 20 * time.Second, Occurrence.begin},
+		"with a ramp":     {3.7, 3.7, time.Minute, func(o Occurrence, t time.Time) float64 { return o.Level(t) }, Came, 0.02, time.Minute, Occurrence.begin},
+		"larger":          {3.7, 3.7, 0, func(o Occurrence, t time.Time) float64 { return 2 * o.Level(t) }, Came, 0.01, 10 * time.Second, Occurrence.begin},
+		"no show":         {3.7, 3.7, 0, func(Occurrence, time.Time) float64 { return 0 }, NoShow, 0.03, 16 * time.Second, Occurrence.begin},
+		"no show, many":   {40, 40, 0, func(Occurrence, time.Time) float64 { return 0 }, NoShow, 0.03, 4 * time.Second, Occurrence.begin},
+		"no show, ramp":   {3.7, 3.7, time.Minute, func(Occurrence, time.Time) float64 { return 0 }, NoShow, 0.03, 50 * time.Second, Occurrence.begin},
+		"ten min. early":  {3.7, 3.7, 0, func(o Occurrence, t time.Time) float64 { return o.Level(t.Add(10 * time.Minute)) }, Came, 0.01, 30 * time.Second, Occurrence.early},
+		"one minute late": {3.7, 3.7, 0, func(o Occurrence, t time.Time) float64 { return o.Level(t.Add(-time.Minute)) }, Came, 0.01, 100 * time.Second, Occurrence.begin},
+		"at half size":    {3.7, 3.7, 0, func(o Occurrence, t time.Time) float64 { return o.Level(t) / 2 }, Came, 0.05, 3 * time.Minute, Occurrence.begin},
+	} {
+		o := occurrence(e.ramp)
+		wrong := 0
+		var took []float64
+		for seed := range uint64(days) {
+			var last State
+			var at time.Time
+			s := watch(o, seed, e.base, e.more, DefaultErrors.Spread, func(t time.Time) float64 { return e.level(o, t) }, func(now time.Time, st State) {
+				if st != last && st != Finished {
+					last, at = st, now
+				}
+			})
+			if st, _ := s.State(); st != Finished {
+				t.Fatalf("%s: %v at the end", name, st)
+			}
+			if last != e.want {
+				wrong++
+				continue
+			}
+			took = append(took, at.Sub(e.from(o)).Seconds())
+		}
+		slices.Sort(took)
+		if part := float64(wrong) / days; part > e.wrong || len(took) == 0 {
+			t.Errorf("%s: %.3f of the days were told wrong", name, part)
+			continue
+		}
+		late := took[int(math.Ceil(float64(len(took))*0.95))-1]
+		if late > e.within.Seconds() {
+			t.Errorf("%s: told after %.0f s in 95 of 100 days, %v is wanted", name, late, e.within)
+		}
+		t.Logf("%s: %d of %d wrong, told after %.0f s (median), %.0f s (95 of 100)", name, wrong, days, took[len(took)/2], late)
+	}
+}
+
+func (o Occurrence) begin() time.Time { return o.Begin }
+func (o Occurrence) early() time.Time { return o.Begin.Add(-o.Peak.Early) }
+
+// Ordinary traffic is taken for an early peak no more often than stated.
+func TestFalseAlarms(t *testing.T) {
+	o := occurrence(0)
+	alarms := 0
+	const days = 1000
+	for seed := range uint64(days) {
+		came := false
+		watch(o, seed, 3.7, 3.7, DefaultErrors.Spread, func(time.Time) float64 { return 0 }, func(now time.Time, st State) {
+			came = came || st == Came && now.Before(o.Begin)
+		})
+		if came {
+			alarms++
+		}
+	}
+	if float64(alarms) > 2*DefaultErrors.Alarm*days {
+		t.Errorf("%d of %d early windows", alarms, days)
+	}
+	t.Logf("%d of %d early windows", alarms, days)
+}
+
+// A clock that jumps decides nothing.
+func TestShowAndTheClock(t *testing.T) {
+	o := occurrence(0)
+	s := NewShow(o, DefaultErrors)
+	s.Tick(o.Begin.Add(-time.Minute), 0, 4, 4)
+	s.Tick(o.Begin.Add(10*time.Minute), 5000, 4, 4)
+	s.Tick(o.Begin.Add(9*time.Minute), 5000, 4, 4)
+	s.Tick(o.Begin.Add(9*time.Minute), 5000, 4, 4)
+	if st, _ := s.State(); st != Awaited {
+		t.Error(st)
+	}
+	for i := range 20 {
+		s.Tick(o.Begin.Add(9*time.Minute+time.Duration(i+1)*time.Second), 8, 4, 4)
+	}
+	if st, _ := s.State(); st != Came {
+		t.Error("it is not told any more: ", st)
+	}
+}
+
+// The size of a peak that came is near the truth.
+func TestSize(t *testing.T) {
+	o := occurrence(0)
+	for _, size := range []float64{0.5, 1, 2} {
+		sum, n := 0.0, 0
+		for seed := range uint64(50) {
+			s := NewShow(o, DefaultErrors)
+			src := rand.NewPCG(seed, 2)
+			for i := range 120 {
+				s.Tick(o.Begin.Add(time.Duration(i)*time.Second), int(distuv.Poisson{Lambda: 10 + 10*size, Src: src}.Rand()), 10, 10)
+			}
+			sum += s.Size()
+			n++
+		}
+		if mean := sum / float64(n); math.Abs(mean-size) > 0.1*size {
+			t.Errorf("%v: %v", size, mean)
+		}
+	}
+}
+
+// Lengths are estimated without bias, also where half of the sessions are cut
+// short, which a plain mean of what ended would miss.
+func TestLengths(t *testing.T) {
+	src := rand.NewPCG(7, 7)
+	length := distuv.Uniform{Min: 26, Max: 65, Src: src} // as clips last
+	cutAt := distuv.Exponential{Rate: 1. / 50, Src: src}
+	l := NewLengths(10)
+	plain, ended := 0.0, 0.0
+	for range 3000 {
+		s, c := length.Rand(), cutAt.Rand()
+		l.Add(min(s, c), c < s)
+		if s <= c {
+			plain += s
+			ended++
+		}
+	}
+	s := l.Survival(nil)
+	if mean := Mean(s); math.Abs(mean-45.5) > 1.5 || plain/ended > 44 {
+		t.Errorf("mean %.1f, that of those which ended %.1f, the truth 45.5", mean, plain/ended)
+	}
+	for i := 1; i < len(s); i++ {
+		if s[i] > s[i-1] || s[i] < 0 {
+			t.Fatalf("survival rises at %d", i)
+		}
+	}
+	if s[20] < 0.97 || s[70] > 0.03 {
+		t.Errorf("%.3f last 20 s, %.3f 70 s", s[20], s[70])
+	}
+	// Until anything is seen it is the guess; sessions that play say that it is too short.
+	if m := Mean(NewLengths(40).Survival(nil)); math.Abs(m-40) > 1 {
+		t.Errorf("the guess: %v", m)
+	}
+	if m := Mean(NewLengths(10).Survival(slices.Repeat([]float64{100}, 50))); m < 30 {
+		t.Errorf("50 sessions have played for 100 s: %v", m)
+	}
+	l.Add(math.NaN(), false)
+	l.Add(-5, false)
+	l.Add(1e9, true)
+}
