Announce peaks in the operator's file, and list them with what would be held

Need: operators announce peaks, and want to see beforehand what that holds and when.

Change: a peak block (days of the month, dates, weekly or daily; time, zone, length, ramp, lead, early, classes, factor or more, sure, harm) and an ordinary block, which says what comes without a peak until that is measured. A peak that the fleet has no room for even on the lowest rungs is refused with what is lacking. millethinge peaks lists what comes, what would be held from when, and what that is expected to earn and cost. The manager does not act on announcements yet.

Measured: 22 kinds of faulty blocks are told with their place.

--- a/cmd/millethinge/command.go
+++ b/cmd/millethinge/command.go
@@ -23,6 +23,7 @@
 	Serve      serveCmd      `cmd:"" default:"1" help:"Run the session manager. This is what runs without arguments."`
 	Check      checkCmd      `cmd:"" help:"Read the whole configuration and tell all that is wrong with it."`
 	Explain    explainCmd    `cmd:"" help:"Tell how set-up messages are routed by the rules, and what that costs."`
+	Peaks      peaksCmd      `cmd:"" help:"List the coming announced peaks, with what would be held for them and when."`
 	Convert    convertCmd    `cmd:"" help:"Bring an operator's file of the older JSON form into the present one."`
 	Version    versionCmd    `cmd:"" help:"Print the version."`
 	Completion completionCmd `cmd:"" help:"Print a script that completes commands and flags in a shell."`
--- a/cmd/millethinge/command_test.go
+++ b/cmd/millethinge/command_test.go
@@ -157,3 +157,19 @@
 		}
 	}
 }
+
+func TestPeaksCommand(t *testing.T) {
+	env := map[string]string{"BALANCER_CONFIG": exampleConfig}
+	op := written(t, "op.conf", "ordinary {\n clip 0.02 40s\n feed 0.02 40s\n}\npeak q {\n days 15 last\n at 18:00\n zone America/Mexico_City\n length 3h\n factor 2\n}\n")
+	code, out, errs := try(t, env, "", "--operator", op, "peaks", "--from", "2026-01-30T00:00:00Z", "--days", "30")
+	if code != 0 || errs != "" || !strings.Contains(out, "2026-01-31 18:00 CST q to 21:00, 2 times of clip, feed") || !strings.Contains(out, "2026-02-15") || !strings.Contains(out, "2026-02-28") || strings.Count(out, "held") != 3 {
+		t.Errorf("%d, %s%s", code, out, errs)
+	}
+	for _, e := range []struct{ args, want string }{
+		{"peaks", "announces no peak"}, {"--operator " + op + " peaks --from noon", "--from"}, {"--operator " + op + " peaks --days 0", "--days"},
+	} {
+		if code, _, errs := try(t, env, "", strings.Fields(e.args)...); code != statusFailed || !strings.Contains(errs, e.want) {
+			t.Errorf("%s: %d, %s", e.args, code, errs)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/millethinge/peaks.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"millethinge/internal/config"
+	"millethinge/internal/peaks"
+)
+
+type peaksCmd struct {
+	From string `placeholder:"TIME" help:"From when on, as in 2026-05-15T00:00:00-06:00 (default: now)."`
+	Days int    `default:"31" help:"For how many days."`
+}
+
+// Run lists the coming peaks with what would be held for them, and when, if what
+// comes ordinarily is as the operator's file says.
+func (v peaksCmd) Run(a *app) error {
+	cfg, err := config.Load(a.getenv)
+	if err != nil {
+		return err
+	}
+	if len(cfg.Operator.Peaks) == 0 {
+		return fmt.Errorf("the operator's file announces no peak")
+	}
+	if v.Days < 1 || v.Days > 3660 {
+		return fmt.Errorf("--days: from 1 to 3660")
+	}
+	from := time.Now()
+	if v.From != "" {
+		if from, err = time.Parse(time.RFC3339, v.From); err != nil {
+			return fmt.Errorf("--from: %w", err)
+		}
+	}
+	classes, room := cfg.PlannedClasses()
+	calendar := peaks.Calendar{Peaks: cfg.Operator.Peaks}
+	list := calendar.Between(from, from.AddDate(0, 0, v.Days))
+	for _, o := range list {
+		_, until := o.Window()
+		size := fmt.Sprintf("%g times", o.Peak.Factor)
+		if o.Peak.Factor == 0 {
+			size = fmt.Sprintf("%g more a second", o.Peak.Rate)
+		}
+		fmt.Fprintf(a.out, "%s %s to %s, %s of %s\n", o.Begin.Format("2006-01-02 15:04 MST"), o.Peak.Name, o.End.Format("15:04"), size,
+			strings.Join(named(cfg.Classes, o.Peak.Classes), ", "))
+		if classes == nil {
+			continue
+		}
+		p, err := peaks.Make(o, room, classes)
+		if err != nil {
+			return err
+		}
+		fmt.Fprint(a.out, "    ")
+		held := 0.0
+		for k, part := range p.Part {
+			if held += part; part > 0 {
+				fmt.Fprintf(a.out, "%s %.0f slots (%.1f%%), ", cfg.Classes[k], part*room, 100*part)
+			}
+		}
+		if held == 0 {
+			fmt.Fprintf(a.out, "nothing is held: none is expected to pay; it is watched until %s\n", until.Format("15:04"))
+			continue
+		}
+		fmt.Fprintf(a.out, "held from %s on, growing until %s; expected to earn %+.2f%%, to cost ordinary sessions before %.2f%%\n",
+			p.From.Format("15:04:05"), o.Begin.Format("15:04:05"), 100*(p.Earned/p.Without-1), 100*p.Lost)
+	}
+	if len(list) == 0 {
+		fmt.Fprintf(a.out, "none within %d days\n", v.Days)
+	}
+	if classes == nil {
+		fmt.Fprintln(a.out, "what would be held is told if an ordinary block says what comes")
+	}
+	return nil
+}
+
+// named are the names that are set.
+func named(names []string, set []bool) (out []string) {
+	for i, n := range names {
+		if i < len(set) && set[i] {
+			out = append(out, n)
+		}
+	}
+	return out
+}
--- a/control/control.go
+++ b/control/control.go
@@ -15,7 +15,7 @@
 
 const (
 	// Slots.
-	targetUse = 0.9 // of a link or uplink that slots may fill; room for the spread of true rates
+	TargetUse = 0.9 // of a link or uplink that slots may fill; room for the spread of true rates
 	penalty   = 0.5 // a refusal's cost, in parts of the worth (Eq. 6's q)
 	rescoreS  = 10  // s between re-scorings of the reserves
 	ratesS    = 30  // s of arrivals that a re-scoring measures
@@ -259,19 +259,19 @@
 // slots is the size of a server in kB a second: the least of its streams, its
 // link and its part of the uplink.
 func (c *Controller) slots(sv *server) float64 {
-	n := min(c.streams(sv)*c.middle, targetUse*c.link(sv))
-	return min(n, targetUse*c.set.RackKB/float64(max(len(sv.rack.servers), 1)))
+	n := min(c.streams(sv)*c.middle, TargetUse*c.link(sv))
+	return min(n, TargetUse*c.set.RackKB/float64(max(len(sv.rack.servers), 1)))
 }
 
 // rackRoom is what is free of an uplink, in kB a second.
 func (c *Controller) rackRoom(r *rack) float64 {
-	return targetUse*c.set.RackKB - r.own - c.othersOnRack(r)
+	return TargetUse*c.set.RackKB - r.own - c.othersOnRack(r)
 }
 
 // room is what is free of a server's slots, in kB a second.
 func (c *Controller) room(sv *server) float64 {
 	others := c.othersOn(sv)
-	room := min(targetUse*c.link(sv)-sv.own-others, c.rackRoom(sv.rack))
+	room := min(TargetUse*c.link(sv)-sv.own-others, c.rackRoom(sv.rack))
 	if held := float64(len(sv.sessions)) + others/c.meanSize(); held+1 > c.streams(sv) {
 		return min(room, 0)
 	}
@@ -570,9 +570,9 @@
 	list = append(list, s)
 	n := float64(len(list))
 	if c.crowd.seen {
-		return list, n / (n + evenHeld) * targetUse * c.links() / c.crowd.v
+		return list, n / (n + evenHeld) * TargetUse * c.links() / c.crowd.v
 	}
-	return list, min(targetUse*c.links()/float64(c.set.Fronts), n*c.middle)
+	return list, min(TargetUse*c.links()/float64(c.set.Fronts), n*c.middle)
 }
 
 // level gives each session the rung that earns most within kb: from the floors
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -619,7 +619,7 @@
 	set.Racks, set.RackKB, set.Fronts = 1, 1500, 100
 	b := newBed(t, set)
 	b.mustSend(b.arrive(1, 1))
-	if s := b.c.sessions[1]; b.c.size(s, s.rung) > roomPart*targetUse*1500 {
+	if s := b.c.sessions[1]; b.c.size(s, s.rung) > roomPart*TargetUse*1500 {
 		t.Errorf("rung %d takes %v of an uplink of 1500", s.rung, b.c.size(s, s.rung))
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -149,6 +149,7 @@
 // Deployment is what the operator's file may refer to.
 func (c *Config) Deployment() Deployment {
 	on := Deployment{Teams: c.Tenants}
+	on.Room, on.Planned = site(&c.Settings)
 	for i, k := range c.Settings.Classes {
 		on.Classes = append(on.Classes, route.Class{Name: c.Classes[i], Paid: k.Effect != control.Idempotent, Floor: k.Floor})
 	}
@@ -273,6 +274,9 @@
 	if r := o.Routes; r != nil {
 		fmt.Fprintf(&b, "\n%d rules, at most %d steps a request", len(r.Rules()), r.Bound())
 	}
+	if len(o.Peaks) > 0 {
+		fmt.Fprintf(&b, "\n%d announced peaks", len(o.Peaks))
+	}
 	if d := o.DNSSD; d != nil {
 		fmt.Fprintf(&b, "\ndns-sd %s at %s", d.Service, d.Server)
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"millethinge/internal/broker"
+	"millethinge/internal/peaks"
 	"millethinge/internal/route"
 )
 
@@ -134,6 +135,29 @@
 	}
 }
 
+// A peak's block tells its faults, and one that the fleet has no room for.
+func TestPeaks(t *testing.T) {
+	on := deployment
+	on.Room, on.Planned = 100, []peaks.Class{
+		{Sizes: []float64{0.3, 0.7, 1.4}, Worth: []float64{0.5, 1, 2}, Floor: 1, Top: 2}, {Sizes: []float64{0.3, 0.7, 1.4}, Worth: []float64{0.2, 0.5, 1}, Top: 2}}
+	good := "ordinary {\n clip 0.5 40s\n feed 1 40s\n}\npeak q {\n days 15 last\n at 18:00\n zone America/Mexico_City\n length 3h\n factor 2\n}\n"
+	o, err := ParseOperator("op", []byte(good), nil, on)
+	if err != nil || len(o.Peaks) != 1 || o.Peaks[0].At != 18*time.Hour || o.Peaks[0].Days.OfMonth[1] != 0 || o.Peaks[0].Lead != defaultLead || !o.Peaks[0].Classes[1] || o.Ordinary[1].Lasts != 40*time.Second {
+		t.Errorf("%+v, %v", o, err)
+	}
+	for _, e := range [][3]string{
+		{"15 last", "15 32", `op:6:10: peak.q.days: "32" is neither`}, {"15 last", "05", "neither a day"}, {"days 15 last", "days", "wants days of the month"}, {"days 15 last", "", "peak: wants one of days, dates, weekly and daily"},
+		{"days 15 last", "daily\n weekly fri", "wants one of"}, {"days 15 last", "dates 2026-02-30", "is no date"}, {"days 15 last", "dates", "wants a date"}, {"days 15 last", "weekly fri someday", "is no day of the week"}, {"days 15 last", "weekly", "wants a day of the week"},
+		{"18:00", "25:00", "is no time of day"}, {"at 18:00", "", "at is missing"}, {"America/Mexico_City", "Nowhere", "peak.q.zone"}, {"3h", "0s", "not from 1s"}, {"factor 2", "", "wants factor or more"}, {"factor 2", "factor 2\n more 3", "and not both"},
+		{"factor 2", "factor 0.5", "not from 1"}, {"factor 2", "factor 2\n sure 2", "not from 0 to 1"}, {"factor 2", "factor 2\n lead 5h", "peak.q.lead"}, {"feed 1 40s", "fed 1 40s", "ordinary.fed: \"fed\" is not a class"}, {"feed 1 40s", "feed 1", "wants their mean length"},
+		{"factor 2", "factor 20", "peak: can't be met: on the lowest rungs it needs "}, {"factor 2", "more 100", "too few"},
+	} {
+		if _, err := ParseOperator("op", []byte(strings.Replace(good, e[0], e[1], 1)), nil, on); err == nil || !strings.Contains(err.Error(), e[2]) {
+			t.Errorf("%s: %v", e[2], err)
+		}
+	}
+}
+
 // A file of the older form comes over whole, also with odd names.
 func TestConvert(t *testing.T) {
 	old := `{"websocket": {"listen": "127.0.0.1:5080", "path": "/s", "grace_ms": 1500},
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -7,6 +7,7 @@
 
 	"millethinge/internal/broker"
 	"millethinge/internal/conf"
+	"millethinge/internal/peaks"
 	"millethinge/internal/route"
 )
 
@@ -19,22 +20,26 @@
 	Teams     []broker.Team
 	DNSSD     *DNSSD
 	Routes    *route.Set // nil: requests keep what they name
-	Warnings  []string   // of what is no fault, each with its place
+	Ordinary  []Ordinary // by class; nil: not told
+	Peaks     []peaks.Peak
+	Warnings  []string // of what is no fault, each with its place
 }
 
 // Deployment is what an operator's file may refer to.
 type Deployment struct {
 	Classes []route.Class
-	Teams   []string // of the platform; if Running, all
-	Running bool     // a program runs with these teams; those of the file wait
-	Trace   bool     // rules are to be explained
+	Planned []peaks.Class // the same, as peaks are planned for
+	Room    float64       // of the fleet, in slots
+	Teams   []string      // of the platform; if Running, all
+	Running bool          // a program runs with these teams; those of the file wait
+	Trace   bool          // rules are to be explained
 }
 
 // block is one keyword of an operator's file. A subsystem adds its own by one
 // line in blocks.
 type block func(*loader) conf.Key
 
-var blocks = []block{websocketBlock, viewersBlock, teamBlock, dnssdBlock, rulesBlock}
+var blocks = []block{websocketBlock, viewersBlock, teamBlock, dnssdBlock, rulesBlock, ordinaryBlock, peakBlock}
 
 // loader is an operator's file while it is read.
 type loader struct {
