Have the broker hold room for announced peaks, by an event of the module

Need: what the planner wants held has to bind where sessions are placed.

Change: the module takes EvHold, the part of each server's room held for each class, and leaves it to sessions that the broker marks as an announced peak's own; it tells its room (nothing of what drains, is gone or seems cut off; of a cold server what has warmed) and its share of all arrivals. The broker counts arrivals and lengths, ticks the keeper each second, hands the module what changes, and logs what is noticed. A rule that sets the label peak tells a peak's own requests from others. A hold keeps its slots when nodes are lost, on those that are left.

--- a/control/api.go
+++ b/control/api.go
@@ -153,6 +153,7 @@
 	EvTimer                    // Token
 	EvProbed                   // Server, Status, Load
 	EvNote                     // Note, Value
+	EvHold                     // Hold
 )
 
 // Event is one thing that a front is told.
@@ -178,6 +179,8 @@
 	Token    uint32
 	List     ListKind
 	Entries  []Entry
+	Own      bool      // of an announced peak, for which room is held
+	Hold     []float64 // by class, the part of each server's slots held for its Own sessions
 }
 
 // ActionKind says which fields of an Action are set.
--- a/control/control.go
+++ b/control/control.go
@@ -129,6 +129,8 @@
 		c.onTimer(e.Token)
 	case e.Kind == EvProbed:
 		c.onProbed(e)
+	case e.Kind == EvHold:
+		c.held = append(c.held[:0], e.Hold...)
 	case s == nil: // the rest is news of a session; this one has ended
 	case e.Kind == EvFirst:
 		c.onFirst(s, e)
@@ -141,11 +143,7 @@
 	case e.Kind == EvNote:
 		c.onNote(s, e)
 	}
-	for i := range c.out {
-		a := &c.out[i]
-		a.PatienceS, a.DelayS, a.WaitS = a.PatienceS*c.unit, a.DelayS*c.unit, a.WaitS*c.unit
-	}
-	return c.out
+	return c.inSeconds()
 }
 
 // The server list.
@@ -259,8 +257,7 @@
 // slots is the size of a server in kB a second: the least of its streams, its
 // link and its part of the uplink.
 func (c *Controller) slots(sv *server) float64 {
-	n := min(c.streams(sv)*c.middle, TargetUse*c.link(sv))
-	return min(n, TargetUse*c.set.RackKB/float64(max(len(sv.rack.servers), 1)))
+	return min(c.streams(sv)*c.middle, c.wide(sv))
 }
 
 // rackRoom is what is free of an uplink, in kB a second.
@@ -278,13 +275,13 @@
 	return room
 }
 
-// free is what a class may fill: its own reserve, then the shared part. What
-// other classes have reserved and not filled is not free.
-func (c *Controller) free(sv *server, class int) float64 {
-	free := c.room(sv)
+// free is what a session may fill: its class's reserve, then the shared part. What
+// other classes have reserved and not filled is not free, nor what is held.
+func (c *Controller) free(sv *server, s *session) float64 {
+	free := c.room(sv) - c.heldFrom(s, sv)
 	others := c.othersOn(sv)
 	for k := range c.set.Classes {
-		if k != class && c.meanSlots > 0 {
+		if k != s.class && c.meanSlots > 0 {
 			reserved := c.reserve[k] / c.meanSlots * c.slots(sv)
 			free -= max(reserved-sv.byClass[k]-others*c.mix[k], 0)
 		}
@@ -342,7 +339,7 @@
 	s := &session{
 		id: e.Session, class: e.Class, title: e.Title, home: e.Home, span: e.Span,
 		rung: k.Floor, worth: k.Worth, deadline: c.now + left, goal: c.now + k.GoalS,
-		top: min(k.Top, len(c.set.RatesKB)-1),
+		top: min(k.Top, len(c.set.RatesKB)-1), own: e.Own,
 	}
 	if e.MaxRung < float64(s.top) {
 		s.top = int(max(e.MaxRung, -1))
@@ -387,7 +384,7 @@
 	}
 	list, later := c.holders(s)
 	for _, h := range list {
-		if free := c.free(h.sv, s.class); free >= c.size(s, k.Floor) {
+		if free := c.free(h.sv, s); free >= c.size(s, k.Floor) {
 			c.send(s, h.sv, c.fit(s, h.sv, free))
 			return
 		}
@@ -413,7 +410,7 @@
 		return false
 	}
 	floor := c.set.Classes[s.class].Floor
-	need := c.size(s, floor) - c.free(sv, s.class)
+	need := c.size(s, floor) - c.free(sv, s)
 	gain := s.worth * c.set.LadderWorth[floor] * c.hold()
 	var down []*session
 	for need > 0 {
--- a/control/state.go
+++ b/control/state.go
@@ -64,6 +64,7 @@
 	keptTil    float64 // when it is tried again
 	tried      []*server
 	askTil     float64 // when it stops waiting for probes; 0: none asked
+	own        bool    // of an announced peak
 }
 
 // A mean follows what is added to it.
@@ -114,6 +115,7 @@
 	playedS   float64
 	ends      float64
 	reserve   []float64 // slots by class on a server of meanSlots
+	held      []float64 // parts of the slots held for announced peaks, by class
 	meanSlots float64
 	mix       []float64 // class shares of the load
 	rescoreAt float64
@@ -363,3 +365,61 @@
 	c.account(s.server)
 	c.emit(Action{Kind: ActRung, Session: s.id, Rung: rung})
 }
+
+// heldFrom is what of a server's slots is held for others than s, in kB a second: for
+// the announced peaks of all classes, but of its own class if it is of one of them.
+func (c *Controller) heldFrom(s *session, sv *server) float64 {
+	part := 0.0
+	for k, h := range c.held {
+		if k != s.class || !s.own {
+			part += h
+		}
+	}
+	if part == 0 {
+		return 0
+	}
+	return part * c.wide(sv)
+}
+
+// wide is what a server's link and its part of the uplink let through, in kB a
+// second.
+func (c *Controller) wide(sv *server) float64 {
+	return min(TargetUse*c.link(sv), TargetUse*c.set.RackKB/float64(max(len(sv.rack.servers), 1)))
+}
+
+// inSeconds is what is to be done, with its times counted as the broker does.
+func (c *Controller) inSeconds() []Action {
+	for i := range c.out {
+		a := &c.out[i]
+		a.PatienceS, a.DelayS, a.WaitS = a.PatienceS*c.unit, a.DelayS*c.unit, a.WaitS*c.unit
+	}
+	return c.out
+}
+
+// Room is what the usable servers give, in slots of the middle rung's rate: nothing
+// of one that drains, is gone or stands in a zone that seems lost, and of a cold one
+// what has warmed.
+func (c *Controller) Room() float64 {
+	slots := 0.0
+	for _, sv := range c.order {
+		if sv.State != Ready || c.now < c.lostTil[sv.Zone] {
+			continue
+		}
+		warm := 1.0
+		if c.now < sv.coldTil && c.set.WarmAfterS > 0 {
+			warm = min(max((c.now-sv.coldAt)/c.set.WarmAfterS, 0), 1)
+		}
+		slots += c.slots(sv) * warm / c.middle
+	}
+	return slots
+}
+
+// Share is the part of all fronts' sessions that this one seems to have: by what it
+// asks for of what is reported, or even without reports.
+func (c *Controller) Share() float64 {
+	even := 1 / float64(c.set.Fronts)
+	if all := c.fleetUse.v; c.fleetUse.seen && all > 0 && c.own > 0 {
+		return min(max(c.own/all, even/4), 1)
+	}
+	return even
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -39,6 +39,7 @@
 	MemoryMB int
 	Drain    Drain
 	Teams    []Team
+	Peaks    Peaks
 	Nodes    Nodes
 	Log      *zap.Logger
 }
@@ -62,6 +63,7 @@
 	open     map[control.SessionID]bool  // set-ups not answered yet
 	timers   timers
 	ledgers  []ledger
+	holder   *holder // nil: no peak is announced
 	drained  chan struct{}
 	drain    Drain
 	stopping time.Time // when the drain was asked for; zero: it was not
@@ -77,7 +79,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("broker: %w", err)
 	}
-	return &Broker{
+	b := &Broker{
 		set: set, ctl: ctl, nodes: cfg.Nodes, log: cfg.Log, clock: newClock(),
 		inbox:    mailbox.New[any](max(cfg.MemoryMB, 1) * perMB),
 		sessions: make(map[control.SessionID]*session),
@@ -86,7 +88,12 @@
 		ledgers:  newLedgers(cfg.Teams, len(cfg.Settings.Quotas)),
 		drained:  make(chan struct{}),
 		drain:    cfg.Drain,
-	}, nil
+		holder:   newHolder(cfg.Peaks, set.Fronts),
+	}
+	if b.holder != nil {
+		b.timers.add(b.clock.now(), timerPeaks, 0, 0)
+	}
+	return b, nil
 }
 
 // Submit hands over a request. False: the mailbox is full, nothing was taken.
@@ -259,6 +266,8 @@
 			if s != nil && s.client == nil && s.losses == t.token {
 				b.abandon(s)
 			}
+		case timerPeaks:
+			b.tickPeaks(b.clock.now())
 		case timerForget:
 			delete(b.ended, t.session)
 		}
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -27,6 +27,7 @@
 	playing  bool
 	mayRun   bool // an earlier attempt may have run
 	billed   bool
+	stood    time.Time // since when it plays
 }
 
 func (b *Broker) request(r Request) {
@@ -73,7 +74,7 @@
 		b.refuse(s, wait)
 		return
 	}
-	e.Kind = control.EvArrive
+	e.Kind, e.Own = control.EvArrive, b.holder.arrived(&r)
 	e.LeftS = max(s.deadline.Sub(now)-answerMargin, 0).Seconds()
 	b.tell(e)
 }
@@ -307,7 +308,7 @@
 		b.forget(s)
 		return
 	}
-	s.playing = true
+	s.playing, s.stood = true, b.clock.now()
 	b.tell(control.Event{Kind: control.EvFirst, Session: s.ID, Server: s.server, Attempt: s.attempt - 1})
 	if !b.answer(s, Reply{Kind: Served, ID: s.ID, Description: r.Description}) {
 		// Its connection is gone and nobody will come back for it.
@@ -352,6 +353,7 @@
 // over ends a session that stood.
 func (b *Broker) over(s *session, status control.Status, load []float64) {
 	s.playing = false
+	b.holder.ended(b.clock.now(), s, status)
 	b.tell(control.Event{Kind: control.EvEnd, Session: s.ID, Attempt: s.attempt - 1, Server: s.server,
 		Status: status, Finished: true, Load: load})
 	b.forget(s)
--- a/internal/config/peaks.go
+++ b/internal/config/peaks.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"millethinge/control"
+	"millethinge/internal/broker"
 	"millethinge/internal/conf"
 	"millethinge/internal/peaks"
 )
@@ -207,6 +208,21 @@
 	return classes
 }
 
+// Announced is what the broker is told of peaks.
+func (c *Config) Announced() broker.Peaks {
+	on := c.Deployment()
+	p := broker.Peaks{Calendar: peaks.Calendar{Peaks: c.Operator.Peaks}, Classes: on.Planned}
+	for i := range p.Classes {
+		lasts := 0.0
+		if i < len(c.Operator.Ordinary) {
+			p.Classes[i].Rate = c.Operator.Ordinary[i].Rate
+			lasts = c.Operator.Ordinary[i].Lasts.Seconds()
+		}
+		p.Lasts = append(p.Lasts, lasts)
+	}
+	return p
+}
+
 // PlannedClasses are the classes with what comes ordinarily by the operator's file,
 // and the fleet's room in slots, for plans made without a running program. They are
 // nil if the file does not tell.
--- a/internal/peaks/keeper.go
+++ b/internal/peaks/keeper.go
@@ -19,9 +19,11 @@
 
 // Input is what a Keeper is told, each second or so.
 type Input struct {
-	Now     time.Time
-	Room    float64 // slots, by Room
-	Classes []Class // Rate is what comes now, as far as it is known at the start
+	Now  time.Time
+	Room float64 // slots, by Room
+	// Share is the part of all managers' arrivals that this one sees; 0 means all.
+	Share   float64
+	Classes []Class // Rate is what comes at this manager, as far as it is known at the start
 	Counts  []int   // arrivals by class since the last Tick
 	// Own are those of them that are a peak's own by its rule; a peak that has none is
 	// told by its classes alone.
@@ -95,8 +97,8 @@
 		}
 		notices = append(notices, k.watch(e, in, dt)...)
 		for i, h := range e.held(in.Now, k.own(o.Index, in)) {
-			if i < len(held) {
-				held[i] += h
+			if i < len(held) && in.Room > 0 {
+				held[i] += h * e.plan.Room / in.Room // the same slots, on the nodes that are left
 			}
 		}
 	}
@@ -162,11 +164,14 @@
 	tell := func(format string, args ...any) {
 		notices = append(notices, Notice{o, fmt.Sprintf(format, args...)})
 	}
-	classes := make([]Class, len(in.Classes))
-	scale := 0.0
+	share := in.Share
+	if !(share > 0) {
+		share = 1
+	}
+	classes := make([]Class, len(in.Classes)) // with the rates of all managers
 	for i, c := range in.Classes {
-		c.Rate = k.base[i]
-		classes[i], scale = c, scale+c.Rate
+		c.Rate = k.base[i] / share
+		classes[i] = c
 	}
 	lead := o.Begin.Add(-o.Peak.Lead - planAhead)
 	if e.state == Awaited && in.Now.Before(o.Begin) && !in.Now.Before(lead) && (e.planned.IsZero() || in.Now.Sub(e.planned) >= planEvery || in.Now.Before(e.planned)) {
@@ -187,7 +192,7 @@
 	m := newModel(o, max(in.Room, 1), classes)
 	for i := range classes {
 		if m.more[i] > 0 {
-			base, more = base+classes[i].Rate, more+m.more[i]
+			base, more = base+k.base[i], more+m.more[i]*share
 			if i < len(in.Counts) {
 				count += in.Counts[i]
 			}
--- a/internal/peaks/keeper_test.go
+++ b/internal/peaks/keeper_test.go
@@ -87,7 +87,7 @@
 		"no room from first": {always(0), false, always(0), "no plan: peaks: no node gives room", false},
 		"room is lost for a while": {func(t time.Time) float64 { return level(t, 0) }, false, func(t time.Time) float64 {
 			if d := t.Sub(evening); d > -20*time.Second && d < 20*time.Second { // the hall is cut off
-				return 0
+				return 80
 			}
 			return 160
 		}, "lacks|as announced", true},
@@ -201,3 +201,31 @@
 		}
 	})
 }
+
+// When nodes with held room drain or are cut off, the same slots are held on those
+// that are left, from the next tick on.
+func TestHoldMoves(t *testing.T) {
+	p := tenfold()
+	k := NewKeeper(Calendar{Peaks: []Peak{p}}, DefaultErrors)
+	at := evening.Add(-4 * time.Second)
+	before, moved := 0.0, false
+	day(k, 2, evening.Add(-5*time.Minute), evening, always(0), false, func(now time.Time) float64 {
+		if now.Before(at) {
+			return 160
+		}
+		return 100
+	}, func(now time.Time, held []float64, _ []Notice) {
+		if now.Equal(at.Add(-time.Second)) {
+			before = sum(held) * 160
+		}
+		if now.Equal(at) { // the hold grows meanwhile
+			moved = true
+			if after := sum(held) * 100; before <= 0 || after < before {
+				t.Errorf("%.2f slots held before, %.2f after", before, after)
+			}
+		}
+	})
+	if !moved {
+		t.Error("nothing was looked at")
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -60,7 +60,7 @@
 		Report: func(r broker.Report) { core.Report(r) }, Log: log,
 	})
 	core, err := broker.New(broker.Config{
-		Settings: cfg.Settings, Seed: cfg.Seed, MemoryMB: cfg.MemoryMB, Drain: cfg.Drain, Teams: cfg.Operator.Teams, Nodes: pool, Log: log,
+		Settings: cfg.Settings, Seed: cfg.Seed, MemoryMB: cfg.MemoryMB, Drain: cfg.Drain, Teams: cfg.Operator.Teams, Peaks: cfg.Announced(), Nodes: pool, Log: log,
 	})
 	if err != nil {
 		return err
