Play evenings with announced peaks against real brokers in virtual time

Need: whether a hold helps has to be seen on brokers and nodes, not in the planner's own model.

Change: internal/standin has a fleet of nodes without a wire, for brokers that run in a synctest bubble: links that differ from the list, equal shares, the guard, reports, notes, lengths and true rates drawn by seed.

--- a/internal/peaks/keeper_test.go
+++ b/internal/peaks/keeper_test.go
@@ -229,3 +229,43 @@
 		t.Error("nothing was looked at")
 	}
 }
+
+// What peaks that overlap bring adds up, and so do their holds, in one room.
+func TestOverlap(t *testing.T) {
+	a, b := tenfold(), tenfold()
+	b.Name, b.At = "second", a.At+30*time.Second
+	held := func(c Calendar) (most float64) {
+		day(NewKeeper(c, DefaultErrors), 4, evening.Add(-4*time.Minute), evening, always(0), false, always(160), func(now time.Time, h []float64, _ []Notice) { most = sum(h) })
+		return most
+	}
+	// At a's begin, half a minute before b's.
+	one, two, both := held(Calendar{Peaks: []Peak{a}}), held(Calendar{Peaks: []Peak{b}}), held(Calendar{Peaks: []Peak{a, b}})
+	if one <= 0 || both < one+two-1e-9 || both > one+two+0.02 {
+		t.Errorf("%.4f, %.4f, both %.4f", one, two, both)
+	}
+}
+
+// A peak that is announced while it runs is taken for the ordinary, and nothing is
+// held for it any more.
+func TestAnnouncedWhileItRuns(t *testing.T) {
+	k := NewKeeper(Calendar{Peaks: []Peak{tenfold()}}, DefaultErrors)
+	day(k, 5, evening.Add(5*time.Minute), evening.Add(7*time.Minute), func(t time.Time) float64 { return level(t, 0) }, false, always(160), func(now time.Time, held []float64, _ []Notice) {
+		if sum(held) > 0 {
+			t.Fatalf("%v held at %v", held, now)
+		}
+	})
+}
+
+// An announcement that is ten times too large costs ordinary sessions no more than
+// the operator allows, by the plan, and is given back.
+func TestWrongAnnouncement(t *testing.T) {
+	room, classes := site(0.45)
+	for _, harm := range []float64{0.01, 0.03, 0.1} {
+		o := doubling()
+		o.Peak.Factor, o.Peak.Harm, o.Peak.Sure = 20, harm, 1
+		p, err := Make(o, room, classes)
+		if err != nil || p.Lost > harm+1e-3 || sum(p.Part) == 0 {
+			t.Errorf("harm %v: %v, loses %.4f, holds %.3f", harm, err, p.Lost, sum(p.Part))
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,256 @@
+package standin
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"millethinge/control"
+	"millethinge/internal/broker"
+)
+
+// Fleet is media nodes without a wire, for brokers that run in virtual time: it
+// takes their attempts, shares each link equally among what plays there, refuses
+// over the guard, reports loads and tells of short delivery.
+type Fleet struct {
+	Settings control.Settings
+	LinksKB  []float64     // true links of the nodes, which are servers 1 and on
+	Way      time.Duration // one way
+	Length   func(session control.SessionID, class int) time.Duration
+	Spread   float64 // true rates lie so much above or below the ladder
+
+	mu       sync.Mutex
+	src      *rand.Rand
+	nodes    []*fleetNode
+	sessions map[control.SessionID]*fleetSession
+	timers   []*time.Timer
+	closed   bool
+	Earned   float64 // worth of what played, by rung and delivery
+	Played   int
+	Full     int // set-ups refused as full
+}
+
+type fleetNode struct {
+	link     float64
+	asked    float64
+	down     bool // it drains or is cut off: it answers nothing
+	sessions map[control.SessionID]*fleetSession
+}
+
+type fleetSession struct {
+	id      control.SessionID
+	class   int
+	number  int
+	rung    int
+	factor  float64 // of its true rate
+	node    *fleetNode
+	server  control.Server
+	to      *broker.Broker
+	began   time.Time
+	ends    time.Time
+	earned  float64 // rung's worth times seconds
+	counted time.Time
+}
+
+// NewFleet returns a fleet with a seed of its own.
+func NewFleet(f *Fleet, seed uint64) *Fleet {
+	f.src = rand.New(rand.NewPCG(seed, 9))
+	f.sessions = make(map[control.SessionID]*fleetSession)
+	for _, kb := range f.LinksKB {
+		f.nodes = append(f.nodes, &fleetNode{link: kb, sessions: make(map[control.SessionID]*fleetSession)})
+	}
+	return f
+}
+
+// Close stops what is still to happen.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closed = true
+	for _, t := range f.timers {
+		t.Stop()
+	}
+}
+
+// after runs do later, with the lock held.
+func (f *Fleet) after(d time.Duration, do func()) {
+	f.timers = append(f.timers, time.AfterFunc(d, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if !f.closed {
+			do()
+		}
+	}))
+	if len(f.timers) > 1<<16 {
+		f.timers = append(f.timers[:0], f.timers[1<<15:]...) // the oldest have run
+	}
+}
+
+// Manager is the nodes as one broker sees them. It has to be given the broker
+// before that runs.
+type Manager struct {
+	*Fleet
+	Broker *broker.Broker
+}
+
+func (m *Manager) node(s control.Server) *fleetNode {
+	if s < 1 || int(s) > len(m.nodes) {
+		return nil
+	}
+	return m.nodes[s-1]
+}
+
+// SetUp sends an attempt.
+func (m *Manager) SetUp(s control.Server, a broker.Attempt) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := m.node(s)
+	if n == nil {
+		return false
+	}
+	m.after(m.Way, func() {
+		if n.down {
+			return
+		}
+		if n.asked >= m.Settings.Guard*n.link {
+			m.Full++
+			m.after(m.Way, func() {
+				m.Broker.Report(broker.Report{Kind: broker.Ended, Server: s, ID: a.ID, Number: a.Number, Status: control.Full, Load: m.load(n)})
+			})
+			return
+		}
+		p := &fleetSession{id: a.ID, class: a.Class, number: a.Number, rung: a.Rung, node: n, server: s, to: m.Broker,
+			factor: 1 + m.Spread*(2*m.src.Float64()-1), began: time.Now(), counted: time.Now()}
+		length := m.Length(a.ID, a.Class)
+		p.ends = p.began.Add(length)
+		m.settle(n)
+		n.sessions[a.ID], m.sessions[a.ID] = p, p
+		m.recount(n)
+		m.after(m.Way, func() {
+			m.Broker.Report(broker.Report{Kind: broker.Started, Server: s, ID: a.ID, Number: a.Number, Description: []byte("d")})
+		})
+		m.after(length, func() {
+			if m.end(p) {
+				p.to.Report(broker.Report{Kind: broker.Ended, Server: s, ID: a.ID, Number: a.Number, Status: control.OK, Cause: broker.CauseEnded})
+			}
+		})
+	})
+	return true
+}
+
+// settle counts what the sessions of a node have earned until now.
+func (f *Fleet) settle(n *fleetNode) {
+	now := time.Now()
+	share := 1.0
+	if n.asked > n.link {
+		share = n.link / n.asked
+	}
+	for _, p := range n.sessions {
+		k := &f.Settings.Classes[p.class]
+		// Under 98% a session loses 7 points of worth for each that is missing.
+		part := max(1-7*max(0.98-share, 0), 0)
+		p.earned += k.Worth * f.Settings.LadderWorth[p.rung] * part * now.Sub(p.counted).Seconds()
+		p.counted = now
+	}
+}
+
+func (f *Fleet) recount(n *fleetNode) {
+	n.asked = 0
+	for _, p := range n.sessions {
+		n.asked += f.Settings.RatesKB[p.rung] * f.Settings.Classes[p.class].Scale * p.factor
+	}
+}
+
+// end takes a session off its node. False: it is not there.
+func (f *Fleet) end(p *fleetSession) bool {
+	if f.sessions[p.id] != p {
+		return false
+	}
+	f.settle(p.node)
+	delete(f.sessions, p.id)
+	delete(p.node.sessions, p.id)
+	f.recount(p.node)
+	if s := p.counted.Sub(p.began).Seconds(); s > 0 {
+		f.Earned += p.earned / s
+		f.Played++
+	}
+	return true
+}
+
+// GiveUp ends an attempt.
+func (m *Manager) GiveUp(s control.Server, id control.SessionID, number int, timedOut bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.sessions[id]; p != nil {
+		m.end(p)
+	}
+	m.after(m.Way, func() {
+		m.Broker.Report(broker.Report{Kind: broker.Ended, Server: s, ID: id, Number: number, Status: control.TimedOut})
+	})
+}
+
+// Stands knows of no session from before the start.
+func (m *Manager) Stands(control.Server, control.SessionID) bool { return false }
+
+// Release ends a session that stands.
+func (m *Manager) Release(_ control.Server, id control.SessionID, _ int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.sessions[id]; p != nil {
+		m.end(p)
+	}
+}
+
+// SetRung changes a rung, which costs a part of the session's worth.
+func (m *Manager) SetRung(_ control.Server, id control.SessionID, rung int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.sessions[id]; p != nil && p.rung != rung {
+		m.settle(p.node)
+		p.earned -= m.Settings.SwitchS * m.Settings.Classes[p.class].Worth * m.Settings.LadderWorth[p.rung]
+		p.rung = rung
+		m.recount(p.node)
+	}
+}
+
+// Probe reports a node's load.
+func (m *Manager) Probe(s control.Server) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := m.node(s)
+	m.after(2*m.Way, func() {
+		if n == nil || n.down {
+			return
+		}
+		m.Broker.Report(broker.Report{Kind: broker.Probed, Server: s, Load: m.load(n)})
+	})
+}
+
+// load is a report: the link's use and the uplink's, which is never short here.
+func (f *Fleet) load(n *fleetNode) []float64 { return []float64{n.asked / n.link, 0.1} }
+
+// Notes tells each session on a node that delivers short its share, as nodes do each
+// second. It is to be called as often.
+func (f *Fleet) Notes() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.nodes {
+		if share := n.link / math.Max(n.asked, 1); share < 0.98 {
+			for _, p := range n.sessions {
+				p.to.Report(broker.Report{Kind: broker.Noted, Server: p.server, ID: p.id, Number: p.number, Note: control.NoteShare, Value: share})
+			}
+		}
+	}
+}
+
+// Use is the part of all links that is asked for.
+func (f *Fleet) Use() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	asked, links := 0.0, 0.0
+	for _, n := range f.nodes {
+		asked, links = asked+n.asked, links+n.link
+	}
+	return asked / links
+}
