--- a/internal/broker/day_test.go
+++ b/internal/broker/day_test.go
@@ -235,7 +235,7 @@
 // -day-seeds 20 [-day-managers 80]
 func TestAnnouncedPeak(t *testing.T) {
 	if testing.Short() {
-		t.Skip("short")
+		t.Skip("short: minutes of many brokers, and run without the race detector")
 	}
 	nodes := 16
 	if *dayManagers > 10 {
--- a/internal/peaks/keeper_test.go
+++ b/internal/peaks/keeper_test.go
@@ -70,6 +70,9 @@
 func always(v float64) func(time.Time) float64 { return func(time.Time) float64 { return v } }
 
 func TestKeeper(t *testing.T) {
+	if testing.Short() {
+		t.Skip("short: one goroutine, and run without the race detector")
+	}
 	for name, e := range map[string]struct {
 		level func(time.Time) float64
 		own   bool
@@ -148,6 +151,9 @@
 // outside the widest window of an announcement, and what is given back after a
 // no-show is not taken again.
 func TestKeeperProperties(t *testing.T) {
+	if testing.Short() {
+		t.Skip("short: one goroutine, and run without the race detector")
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		var c Calendar
 		for range rapid.IntRange(1, 3).Draw(t, "peaks") {
--- a/internal/peaks/show_test.go
+++ b/internal/peaks/show_test.go
@@ -40,6 +40,9 @@
 // TestShow holds what a show decides, and when, against days of which the truth is
 // known, at the error rates that it states. 400 days of each kind, fixed seeds.
 func TestShow(t *testing.T) {
+	if testing.Short() {
+		t.Skip("short: one goroutine, and run without the race detector")
+	}
 	const days = 400
 	for name, e := range map[string]struct {
 		base, more float64
@@ -102,6 +105,9 @@
 
 // Ordinary traffic is taken for an early peak no more often than stated.
 func TestFalseAlarms(t *testing.T) {
+	if testing.Short() {
+		t.Skip("short: one goroutine, and run without the race detector")
+	}
 	o := occurrence(0)
 	alarms := 0
 	const days = 1000
--- a/internal/rules/property_test.go
+++ b/internal/rules/property_test.go
@@ -138,6 +138,9 @@
 // plain evaluator of the tree that the checker made, and its cost against the
 // bound, for each class.
 func TestCompiledAgrees(t *testing.T) {
+	if testing.Short() {
+		t.Skip("short: one goroutine, and run without the race detector")
+	}
 	var evaluated, matched int
 	rapid.Check(t, func(t *rapid.T) {
 		depth := rapid.IntRange(1, 4).Draw(t, "depth")
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -242,6 +242,9 @@
 // What would loop or grow without bound is refused when it is read, with the
 // figure and the bound, and nothing of it is ever evaluated.
 func TestUnboundedIsRefused(t *testing.T) {
+	if testing.Short() {
+		t.Skip("short: one goroutine, and run without the race detector")
+	}
 	doubling := []string{`d0 = field("x") ?? ""`}
 	for i := range 12 {
 		doubling = append(doubling, fmt.Sprintf("d%d = d%d + d%[2]d", i+1, i))
