--- a/internal/front/message/message_test.go
+++ b/internal/front/message/message_test.go
@@ -124,3 +124,17 @@
 		buf = AppendReply(buf[:0], r)
 	}
 }
+
+// A field that is given twice counts as first given, for rules as for all else: no
+// client can have rules look at one class and the module at another.
+func TestFieldTwice(t *testing.T) {
+	var m Message
+	text := strings.Replace(setUp, `"class":"feed"`, `"class":"feed","class":"clip","shop":"a","shop":"b"`, 1)
+	if err := Parse([]byte(text), &m); err != nil {
+		t.Fatal(err)
+	}
+	r, err := catalog.Read(&m, Origin{})
+	if routed := Routed(&m, &r, Origin{}); err != nil || r.Class != 1 || routed.Class != 1 || string(routed.Texts.Field("shop")) != "a" || routed.Texts.Field("none") != nil {
+		t.Errorf("%+v, %v", routed, err)
+	}
+}
