Serve a paid set-up under a system-call filter that refuses as the platform does

No test showed that the manager starts, serves and stops under such refusals.

Change: the test runs itself again as a child, which sets a seccomp filter of its own on all its threads (no privilege: no_new_privs), checks that each refusal stands (an abstract Unix socket, tcp6 on ::1, ForkExec, splice, io_uring_setup), and then plays a manager that listens on 0.0.0.0, so that Go's probe for IPv6 meets the refusal, with a stand-in node: a clip is set up and answered, and SIGTERM ends the manager. Threads come by clone with CLONE_THREAD, which stays allowed; glibc falls back to it when clone3 is refused.

--- /dev/null
+++ b/internal/server/platform_test.go
@@ -0,0 +1,169 @@
+package server
+
+import (
+	"errors"
+	"net"
+	"os"
+	"os/exec"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+	"unsafe"
+
+	"millethinge/internal/config"
+	"millethinge/internal/standin"
+)
+
+// On the operators' days at size each manager runs under a system-call
+// filter: starting programs, fork, io_uring and sendfile are refused with
+// ENOSYS, splice with EINVAL, and only TCP and UDP over IPv4 are to be had.
+// TestUnderPlatformFilter plays a manager under a filter of our own that
+// refuses the same, written from seccomp(2), and shows that it starts, serves
+// and stops. The filter binds a process for good, so the test runs itself
+// again as a child and filters that.
+
+const filteredEnv = "MILLETHINGE_TEST_FILTERED"
+
+func TestUnderPlatformFilter(t *testing.T) {
+	if runtime.GOOS != "linux" || runtime.GOARCH != "amd64" {
+		t.Skip("the filter is written for linux/amd64")
+	}
+	if os.Getenv(filteredEnv) == "1" {
+		filtered(t)
+		return
+	}
+	cmd := exec.Command(os.Args[0], "-test.run=^TestUnderPlatformFilter$", "-test.v")
+	cmd.Env = append(os.Environ(), filteredEnv+"=1")
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		t.Fatalf("under the filter: %v\n%s", err, out)
+	}
+	t.Logf("%s", out)
+}
+
+// filtered runs in the child, which is filtered for the rest of its life.
+func filtered(t *testing.T) {
+	if err := refuseAsThePlatform(); err != nil {
+		t.Fatalf("no filter: %v", err)
+	}
+	// The filter stands: each refusal is seen before the manager is trusted to
+	// meet none.
+	if _, err := net.Listen("unix", "@millethinge-test"); !errors.Is(err, syscall.EAFNOSUPPORT) {
+		t.Fatalf("a Unix socket: %v, not refused", err)
+	}
+	if _, err := net.Listen("tcp6", "[::1]:0"); !errors.Is(err, syscall.EAFNOSUPPORT) {
+		t.Fatalf("IPv6: %v, not refused", err)
+	}
+	if _, err := syscall.ForkExec("/bin/true", nil, nil); !errors.Is(err, syscall.ENOSYS) {
+		t.Fatalf("fork: %v, not refused", err)
+	}
+	if _, _, errno := syscall.Syscall6(syscall.SYS_SPLICE, 0, 0, 1, 0, 1, 0); errno != syscall.EINVAL {
+		t.Fatalf("splice: %v, not refused", errno)
+	}
+	if _, _, errno := syscall.Syscall6(sysIOURingSetup, 1, 0, 0, 0, 0, 0); errno != syscall.ENOSYS {
+		t.Fatalf("io_uring: %v, not refused", errno)
+	}
+
+	// A node that answers, and a manager listening on every address of the
+	// machine, which has Go ask first whether IPv6 is there.
+	l := loopback(t)
+	node := &standin.Node{Bill: standin.NewBill(), Decide: func(string, int) standin.Verdict { return standin.Verdict{Status: 200} }}
+	go node.Serve(l)
+	p := startWith(t, "127.0.0.1:1", member("a", l.Addr().String(), 0), 2, "", func(cfg *config.Config) {
+		cfg.Listen = "0.0.0.0:0"
+	})
+	s := speak(t, p, false)
+	for n := 1; ; n++ {
+		if err := s.say(setUpLine(3 * n)); err != nil { // clip, the paid class
+			t.Fatal(err)
+		}
+		b, err := s.hear()
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := parseReply(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Type == "answer" {
+			return
+		}
+		if n == 100 {
+			t.Fatalf("not served under the filter: %s", b)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// System calls that package syscall doesn't name.
+const (
+	sysIOURingSetup    = 425
+	sysIOURingEnter    = 426
+	sysIOURingRegister = 427
+	sysClone3          = 435
+	sysExecveat        = 322
+	sysSeccomp         = 317
+
+	seccompSetModeFilter        = 1
+	seccompFilterTSync          = 1
+	seccompRetAllow             = 0x7fff0000
+	seccompRetErrno             = 0x00050000
+	auditArchX86_64             = 0xc000003e
+	prSetNoNewPrivs             = 38
+	offsetNr, offsetArch        = 0, 4
+	offsetArg0                  = 16 // low half, little-endian
+	cloneThread                 = 0x10000
+	afUnix, afInet6             = 1, 10
+	bpfLdW                      = syscall.BPF_LD | syscall.BPF_W | syscall.BPF_ABS
+	bpfJeq                      = syscall.BPF_JMP | syscall.BPF_JEQ | syscall.BPF_K
+	bpfJset                     = syscall.BPF_JMP | syscall.BPF_JSET | syscall.BPF_K
+	bpfRet                      = syscall.BPF_RET | syscall.BPF_K
+	retENOSYS, retEINVAL        = seccompRetErrno | uint32(syscall.ENOSYS), seccompRetErrno | uint32(syscall.EINVAL)
+	retEAFNOSUPPORT             = seccompRetErrno | uint32(syscall.EAFNOSUPPORT)
+	retAllow             uint32 = seccompRetAllow
+)
+
+// refuseAsThePlatform filters every thread of the process, now and later.
+func refuseAsThePlatform() error {
+	var p []syscall.SockFilter
+	op := func(code uint16, jt, jf uint8, k uint32) {
+		p = append(p, syscall.SockFilter{Code: code, Jt: jt, Jf: jf, K: k})
+	}
+	refused := map[uint32]uint32{
+		syscall.SYS_EXECVE: retENOSYS, sysExecveat: retENOSYS, syscall.SYS_FORK: retENOSYS,
+		syscall.SYS_VFORK: retENOSYS, sysClone3: retENOSYS, sysIOURingSetup: retENOSYS,
+		sysIOURingEnter: retENOSYS, sysIOURingRegister: retENOSYS,
+		syscall.SYS_SENDFILE: retENOSYS, syscall.SYS_SPLICE: retEINVAL,
+	}
+	op(bpfLdW, 0, 0, offsetArch)
+	op(bpfJeq, 1, 0, auditArchX86_64)
+	op(bpfRet, 0, 0, retAllow)
+	op(bpfLdW, 0, 0, offsetNr)
+	for nr, ret := range refused {
+		op(bpfJeq, 0, 1, nr)
+		op(bpfRet, 0, 0, ret)
+	}
+	// clone makes threads, which stay allowed (glibc falls back to it when
+	// clone3 is refused); a clone without CLONE_THREAD is a fork.
+	op(bpfJeq, 0, 4, syscall.SYS_CLONE)
+	op(bpfLdW, 0, 0, offsetArg0)
+	op(bpfJset, 1, 0, cloneThread)
+	op(bpfRet, 0, 0, retENOSYS)
+	op(bpfRet, 0, 0, retAllow)
+	op(bpfJeq, 0, 4, syscall.SYS_SOCKET)
+	op(bpfLdW, 0, 0, offsetArg0)
+	op(bpfJeq, 1, 0, afUnix)
+	op(bpfJeq, 0, 1, afInet6)
+	op(bpfRet, 0, 0, retEAFNOSUPPORT)
+	op(bpfRet, 0, 0, retAllow)
+
+	if _, _, errno := syscall.RawSyscall6(syscall.SYS_PRCTL, prSetNoNewPrivs, 1, 0, 0, 0, 0); errno != 0 {
+		return errno
+	}
+	prog := syscall.SockFprog{Len: uint16(len(p)), Filter: &p[0]}
+	if _, _, errno := syscall.RawSyscall(sysSeccomp, seccompSetModeFilter, seccompFilterTSync, uintptr(unsafe.Pointer(&prog))); errno != 0 {
+		return errno
+	}
+	return nil
+}
