Pace only servers listed cold, not every server for a young manager's warm-up

Ruled out: the list (a young front gets the whole list with up_since_ms at its start, and chill() paces what started within the warm-up); descriptors or memory (far under limits).

The broker logs each answer, attempt end and end of a session at debug, by session id; a broken connection tells how many sessions stood on it.

--- a/control/control.go
+++ b/control/control.go
@@ -215,10 +215,12 @@
 	return c.now >= sv.coldTil || chance(c.seed^uint64(s.id), uint64(sv.Server)) < part
 }
 
-// paced tells whether sends to sv are paced: it is cold, or this front is so
-// young that its list may hide a restart.
+// paced tells whether sends to sv are paced: the list or an error says that
+// it started within the warm-up. A young front learns of starts from the list
+// it is started with, as old ones do; pacing all its servers besides cost a
+// restarted front one new connection a set-up.
 func (c *Controller) paced(sv *server) bool {
-	return c.now < sv.coldTil || c.now < c.started+c.set.WarmAfterS
+	return c.now < sv.coldTil
 }
 
 // Load and room.
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -244,6 +244,13 @@
 	}
 	reached := true
 	s.answered, s.reply = true, r
+	if ce := b.log.Check(zap.DebugLevel, "answered"); ce != nil {
+		// One line a request, so that a request can be followed by its id
+		// through every manager that had it.
+		ce.Write(zap.Uint64("session", uint64(s.ID)), zap.Int("class", s.Class), zap.Uint8("kind", uint8(r.Kind)),
+			zap.Int("cause", r.Cause), zap.Int("attempts", s.attempt), zap.Uint64("node", uint64(s.server)),
+			zap.Bool("mayRun", s.mayRun), zap.Duration("wait", r.Wait), zap.Duration("left", s.deadline.Sub(b.clock.now())))
+	}
 	delete(b.open, s.ID)
 	if s.client != nil { // else it waits in s.reply for its player
 		reached = s.client.Deliver(r) || s.Grace > 0
@@ -333,6 +340,10 @@
 		return
 	}
 	s.out = false
+	if ce := b.log.Check(zap.DebugLevel, "attempt ended"); ce != nil {
+		ce.Write(zap.Uint64("session", uint64(s.ID)), zap.Int("attempt", s.attempt), zap.Uint64("node", uint64(s.server)),
+			zap.Int("status", int(r.Status)), zap.Bool("answered", s.answered))
+	}
 	switch r.Status {
 	case control.Full, control.ConnectFailed, control.Moot: // proven not to have run
 	default:
@@ -344,6 +355,10 @@
 }
 
 func (b *Broker) toldOver(s *session, r Reply) {
+	if ce := b.log.Check(zap.DebugLevel, "session over"); ce != nil {
+		ce.Write(zap.Uint64("session", uint64(s.ID)), zap.Uint64("node", uint64(s.server)), zap.Int("cause", r.Cause),
+			zap.Duration("stood", b.clock.now().Sub(s.stood)))
+	}
 	s.reply = r
 	if s.client != nil {
 		s.client.Deliver(r)
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -408,13 +408,16 @@
 			n.connect()
 		}
 	}
+	orphans := 0
 	for _, s := range n.standing {
 		if s.conn == m.conn {
 			s.conn = nil
+			orphans++
 		}
 	}
-	if m.err != io.EOF && !errors.Is(m.err, net.ErrClosed) {
-		n.pool.cfg.Log.Info("connection broke", zap.String("node", n.id), zap.Error(m.err))
+	if m.err != io.EOF && !errors.Is(m.err, net.ErrClosed) || orphans > 0 {
+		n.pool.cfg.Log.Info("connection broke", zap.String("node", n.id), zap.Error(m.err),
+			zap.Int("standing", orphans), zap.Int("conns", len(n.conns)), zap.Bool("live", n.live(nil) != nil))
 	}
 	if len(n.standing) > 0 && len(n.conns) == 0 {
 		n.connect() // releases come on the next connection that opens
