Log an end of a session that waits for its viewer's connection, and when it goes

Change: the one path on which the front itself holds an end back, when no connection of its viewer is open, now says so with the session id, and again when the end goes out.

--- a/internal/front/jsonl/jsonl.go
+++ b/internal/front/jsonl/jsonl.go
@@ -71,7 +71,12 @@
 func (f *Front) flush(c *conn) {
 	now := time.Now()
 	f.unsent = slices.DeleteFunc(f.unsent, func(u unsent) bool {
-		return now.After(u.until) || c.carries(u.host) && c.send(u.reply)
+		sent := !now.After(u.until) && c.carries(u.host) && c.send(u.reply)
+		if sent {
+			f.Log.Info("end of a session sent late", zap.Uint64("session", uint64(u.reply.ID)),
+				zap.Duration("after", keepUnsent-u.until.Sub(now)))
+		}
+		return sent || now.After(u.until)
 	})
 }
 
@@ -116,6 +121,8 @@
 	now := time.Now()
 	f.unsent = slices.DeleteFunc(f.unsent, func(u unsent) bool { return now.After(u.until) })
 	f.unsent = append(f.unsent, unsent{r, c.Host, now.Add(keepUnsent)})
+	// Rare, and the one way an end reaches its viewer late: worth a line.
+	f.Log.Info("end of a session waits for a connection", zap.Uint64("session", uint64(r.ID)), zap.String("host", c.Host))
 	return true
 }
 
