Send an end again that went down with its viewer's connection

What the manager has written on one at that moment is lost though the write went well, and front/jsonl held it for sent (Deliver returned once Put was true; lines 121 to 131).

Change: each end is kept on its connection until its viewer says that it heard it, 2 s at most. What is left when the connection ends goes again, on another one or on the next that opens. An end that is put on a connection between its last read and its close goes elsewhere as well. A viewer that never says so may be told twice where its connection ends within 2 s.

--- a/internal/fleettest/steps.go
+++ b/internal/fleettest/steps.go
@@ -19,7 +19,8 @@
 //	trap M N out|back TOKEN reset|close|mute|after TIMES
 //	                      what manager M (out) or node N (back) writes with TOKEN in it
 //	                      is lost, with its connection reset, closed, or mute from there
-//	                      on; after: it arrives, and then the connection is reset
+//	                      on; after: it arrives, and then the connection is reset. With
+//	                      viewers for N: what M writes to them (out) or they to M (back)
 //	trap-at M N out|back BYTES reset|close|mute|after TIMES
 //	untrap                takes all traps back
 //	kill, term, start, restart A…   managers; kill and start nodes, too
@@ -48,11 +49,7 @@
 		st.do = s.trap(d, word)
 	case "untrap":
 		st.do = func(r *run) error {
-			for _, l := range r.ToNode {
-				for _, relay := range l {
-					relay.Untrap()
-				}
-			}
+			r.between(r.All(), r.All(), func(l *Relay, _ Way, _ string) { l.Untrap() })
 			return nil
 		}
 	case "rate":
@@ -263,15 +260,20 @@
 		if err != nil {
 			return err
 		}
-		for _, m := range ms.managers {
-			for _, n := range ns.nodes {
-				if word == "trap" {
-					r.ToNode[m][n].Trap(way, token, times, act, nil)
-				} else {
-					r.ToNode[m][n].TrapAt(way, bytes, times, act)
-				}
-			}
+		from, to := ms, ns
+		if way == Back {
+			from, to = ns, ms
 		}
+		r.between(from, to, func(l *Relay, w Way, viewersOf string) {
+			if viewersOf != "" {
+				r.Crowd.Broken(viewersOf)
+			}
+			if word == "trap" {
+				l.Trap(w, token, times, act, nil)
+			} else {
+				l.TrapAt(w, bytes, times, act)
+			}
+		})
 		return nil
 	}
 }
--- a/internal/fleettest/viewer.go
+++ b/internal/fleettest/viewer.go
@@ -410,6 +410,10 @@
 		return
 	}
 	c.Record.Add(e)
+	if e.Kind == Moved || e.Kind == Over { // what it heard, it says
+		line, _ := json.Marshal(map[string]any{"type": "released", "id": m.ID, "fields": map[string]string{}})
+		v.Write(append(line, '\n'))
+	}
 	if e.Kind == Moved || e.Kind == Over && m.Cause != 16 || e.Outcome == Refused || e.Outcome == Failed {
 		c.again(a, wait)
 	}
--- a/internal/front/jsonl/jsonl.go
+++ b/internal/front/jsonl/jsonl.go
@@ -20,9 +20,6 @@
 	"millethinge/internal/stream"
 )
 
-// keepUnsent is how long an end waits for an open connection.
-const keepUnsent = 8 * time.Second
-
 // Front serves viewers on one address.
 type Front struct {
 	Core     message.Core
@@ -34,26 +31,23 @@
 
 	mu     sync.Mutex
 	conns  []*conn
-	unsent []unsent
-}
-
-// unsent is a session's end that found no open connection.
-type unsent struct {
-	reply broker.Reply
-	host  string
-	until time.Time
+	unsent []end // those that found no open connection
 }
 
 // conn is one viewers' connection.
 type conn struct {
 	*peer.Conn
 	front *Front
+
+	mu   sync.Mutex
+	ends []end // sent on it and not said to be heard, the oldest first
+	left bool  // it is not read any more: no end goes on it
 }
 
 // Serve accepts until ctx ends.
 func (f *Front) Serve(ctx context.Context, l net.Listener) error {
 	return peer.Serve(ctx, l, f.MaxConns, f.MostOpen, f.Log, func(_ context.Context, p *peer.Conn) {
-		c := &conn{p, f}
+		c := &conn{Conn: p, front: f}
 		f.add(c)
 		defer f.remove(c)
 		c.read()
@@ -67,19 +61,6 @@
 	f.flush(c)
 }
 
-// flush sends c the ends that found no connection and that it may carry.
-func (f *Front) flush(c *conn) {
-	now := time.Now()
-	f.unsent = slices.DeleteFunc(f.unsent, func(u unsent) bool {
-		sent := !now.After(u.until) && c.carries(u.host) && c.send(u.reply)
-		if sent {
-			f.Log.Info("end of a session sent late", zap.Uint64("session", uint64(u.reply.ID)),
-				zap.Duration("after", keepUnsent-u.until.Sub(now)))
-		}
-		return sent || now.After(u.until)
-	})
-}
-
 // carries tells whether the end of a session whose set-up came from a host may
 // be sent on c. Guard: an unknown host's connection may be anybody's, and its
 // client would take no notice.
@@ -89,6 +70,7 @@
 	f.mu.Lock()
 	f.conns = slices.DeleteFunc(f.conns, func(o *conn) bool { return o == c })
 	f.mu.Unlock()
+	f.sendAgain(c.leave())
 	f.Core.Lost(c)
 }
 
@@ -102,27 +84,13 @@
 	case broker.Served:
 		c.know()
 	}
-	if c.send(r) {
-		return true
-	}
 	if r.Kind != broker.Over && r.Kind != broker.Moved {
-		return false
+		return c.send(r)
 	}
-	f := c.front
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, same := range []bool{true, false} { // its viewer's own ones first, the youngest first
-		for _, o := range slices.Backward(f.conns) {
-			if (o.Host == c.Host) == same && o.carries(c.Host) && o.send(r) {
-				return true
-			}
-		}
+	e := end{reply: r, host: c.Host, until: time.Now().Add(keepEnd)}
+	if !c.sendEnd(e) {
+		c.front.sendEnd(e)
 	}
-	now := time.Now()
-	f.unsent = slices.DeleteFunc(f.unsent, func(u unsent) bool { return now.After(u.until) })
-	f.unsent = append(f.unsent, unsent{r, c.Host, now.Add(keepUnsent)})
-	// Rare, and the one way an end reaches its viewer late: worth a line.
-	f.Log.Info("end of a session waits for a connection", zap.Uint64("session", uint64(r.ID)), zap.String("host", c.Host))
 	return true
 }
 
@@ -180,10 +148,14 @@
 	case "release":
 		id, err := message.ParseID(m.ID)
 		return err == nil && c.front.Core.End(broker.ViewerEnd{ID: id, Cause: m.Cause})
+	case "released":
+		if id, err := message.ParseID(m.ID); err == nil {
+			c.heard(id)
+		}
 	case "ping":
 		return c.Put(append(message.AppendPong(nil, m.ID, true), '\n'))
 	}
-	return true // progress and released mean nothing
+	return true // progress means nothing
 }
 
 func (c *conn) setUp(m *message.Message) bool {
--- a/internal/front/jsonl/jsonl_test.go
+++ b/internal/front/jsonl/jsonl_test.go
@@ -96,6 +96,27 @@
 	hear(t, in, `{"type":"pong","id":"02","fields":{},"cause":1}`)
 }
 
+// An end that went down with its connection goes on another one, and one that was
+// heard does not.
+func TestUnheardEndGoesAgain(t *testing.T) {
+	c, dial := serve(t)
+	v, in := dial()
+	io.WriteString(v, `{"type":"setup","id":"0000000000000001","fields":{"class":"feed","left":"900","key":"1","extras":"at:s-1;home:0;copies:1;top:0"},"sdp":""}`+"\n")
+	hear(t, in, `{"type":"release","id":"0000000000000001","fields":{},"cause":41}`) // its mailbox is full: not taken
+	io.WriteString(v, `{"type":"released","id":"0000000000000001"}`+"\n"+`{"type":"ping","id":"01"}`+"\n")
+	hear(t, in, `{"type":"pong","id":"01","fields":{},"cause":1}`)
+	v.Close()
+	client := <-c.lost
+	v, in = dial()
+	client.Deliver(broker.Reply{Kind: broker.Over, ID: 2, Cause: 16})
+	hear(t, in, `{"type":"release","id":"0000000000000002","fields":{},"cause":16}`)
+	v.(*net.TCPConn).SetLinger(0)
+	v.Close()
+	<-c.lost
+	_, in = dial()
+	hear(t, in, `{"type":"release","id":"0000000000000002","fields":{},"cause":16}`)
+}
+
 // A message over 16 KiB costs its connection.
 func TestLongMessage(t *testing.T) {
 	_, dial := serve(t)
