Ration sessions by the plan while a site is lost, and pace its return

internal/site.Guide measures arrivals, lengths and this manager's share in ordinary time, and plans once a second while a site is lost or comes back; a manager's part is its share of before the loss, times what its arrivals have grown by.

Found on the way: managers of the other site never noticed a loss, since they send little there (the crossing is priced); each watched site that nothing is seen of is now asked for one report a second, five where there is doubt. And a share taken after the loss is what each happens to hold.

--- a/control/api.go
+++ b/control/api.go
@@ -154,6 +154,7 @@
 	EvProbed                   // Server, Status, Load
 	EvNote                     // Note, Value
 	EvHold                     // Hold
+	EvRation                   // Ration
 )
 
 // Event is one thing that a front is told.
@@ -181,6 +182,7 @@
 	Entries  []Entry
 	Own      bool      // of an announced peak, for which room is held
 	Hold     []float64 // by class, the part of each server's slots held for its Own sessions
+	Ration   *Ration   // nil: none any more
 }
 
 // ActionKind says which fields of an Action are set.
--- a/control/control.go
+++ b/control/control.go
@@ -129,8 +129,8 @@
 		c.onTimer(e.Token)
 	case e.Kind == EvProbed:
 		c.onProbed(e)
-	case e.Kind == EvHold:
-		c.held = append(c.held[:0], e.Hold...)
+	case e.Kind == EvHold || e.Kind == EvRation:
+		c.planned(e)
 	case s == nil: // the rest is news of a session; this one has ended
 	case e.Kind == EvFirst:
 		c.onFirst(s, e)
@@ -307,7 +307,7 @@
 	if c.set.BudgetWindowS > 0 {
 		c.takenAt = append(c.takenAt, c.now)
 	}
-	if c.flooded(e.Tenant) && max(c.fleetUse.v, c.rackUse.v) > slackUse*c.links() {
+	if c.flooded(e.Tenant) && max(c.fleetUse.v, c.rackUse.v) > slackUse*c.links() || c.rationed(s) {
 		c.answer(s, ActDeny)
 		return
 	}
@@ -510,7 +510,7 @@
 
 // usable tells whether a holder may be sent a session at all.
 func (c *Controller) usable(s *session, sv *server) bool {
-	if sv.State != Ready || c.now < max(sv.restTil, c.lostTil[sv.Zone]) {
+	if sv.State != Ready || c.now < max(sv.restTil, c.shutTil(sv.Zone)) {
 		return false
 	}
 	for _, t := range s.tried {
@@ -585,7 +585,7 @@
 	for {
 		best, gain := -1, 0.0
 		for i, s := range list {
-			if r := rungs[i]; r < s.top && c.size(s, r+1)-c.size(s, r) <= kb {
+			if r := rungs[i]; r < c.topOf(s) && c.size(s, r+1)-c.size(s, r) <= kb {
 				if g := c.stepWorth(s, r); g > gain {
 					best, gain = i, g
 				}
@@ -643,7 +643,7 @@
 func (c *Controller) answer(s *session, kind ActionKind) {
 	a := Action{Kind: kind, Session: s.id}
 	if kind == ActDeny {
-		a.WaitS = awayS
+		a.WaitS = c.away(s)
 	}
 	c.emit(a)
 	s.gone = true
--- a/control/settings.go
+++ b/control/settings.go
@@ -8,6 +8,16 @@
 // unbounded, in kB a second, stands for an uplink that is not told.
 const unbounded = 1e15
 
+// Link is what the link of one of so many listed servers should give, warm, in kB a
+// second.
+func (s *Settings) Link(e Entry, servers int) float64 {
+	kb := e.Weight * s.LinkKB
+	if s.Weights == WeighLive || !positive(kb) {
+		kb = s.FleetKB / float64(max(servers, 1))
+	}
+	return kb
+}
+
 // validate names the first setting that the module can't act on, and
 // fills in what may be absent.
 func validate(s *Settings) error {
--- a/control/state.go
+++ b/control/state.go
@@ -116,6 +116,7 @@
 	ends      float64
 	reserve   []float64 // slots by class on a server of meanSlots
 	held      []float64 // parts of the slots held for announced peaks, by class
+	ration    rations   // of the fleet, where a plan makes one
 	meanSlots float64
 	mix       []float64 // class shares of the load
 	rescoreAt float64
@@ -248,10 +249,7 @@
 
 // link is what a server's link should give. A cold server's link is cold too.
 func (c *Controller) link(sv *server) float64 {
-	kb := sv.Weight * c.set.LinkKB
-	if c.set.Weights == WeighLive || !positive(kb) {
-		kb = c.set.FleetKB / float64(max(len(c.order), 1))
-	}
+	kb := c.set.Link(sv.Entry, len(c.order))
 	if c.now < sv.coldTil && c.set.WarmAfterS > 0 {
 		warm := (c.now - sv.coldAt) / c.set.WarmAfterS
 		kb *= c.set.StartCapacity + (1-c.set.StartCapacity)*min(max(warm, 0), 1)
@@ -327,6 +325,7 @@
 // attach counts a session on a server until detach.
 func (c *Controller) attach(s *session, sv *server) {
 	s.server = sv
+	c.sentTo(sv.Zone)
 	sv.sessions = append(sv.sessions, s)
 	c.seats[seatKey{s.title, s.class}]++
 	c.account(sv)
--- a/internal/broker/api.go
+++ b/internal/broker/api.go
@@ -31,6 +31,7 @@
 	Home    int
 	Span    int
 	MaxRung float64
+	Again   bool          // its viewer has asked before, for this or for what was broken off
 	Left    time.Duration // from Came
 	Came    time.Time     // when its last byte was read
 
--- a/internal/broker/part.go
+++ b/internal/broker/part.go
@@ -41,6 +41,8 @@
 	Share() float64
 	// Ages are, by class, how long the sessions that play have done so, in seconds.
 	Ages() [][]float64
+	// Probe asks a node for its report, which comes as any other does.
+	Probe(control.Server)
 }
 
 // Unmoved is a part that does nothing, to be embedded.
@@ -59,6 +61,8 @@
 func (v view) Room() float64  { return v.ctl.Room() }
 func (v view) Share() float64 { return v.ctl.Share() }
 
+func (v view) Probe(s control.Server) { v.nodes.Probe(s) }
+
 func (v view) Ages() [][]float64 {
 	now, ages := v.clock.now(), make([][]float64, len(v.set.Classes))
 	for _, s := range v.sessions {
@@ -97,7 +101,7 @@
 		all = append(all, h)
 	}
 	if len(cfg.Sites.Names) > 0 {
-		all = append(all, newSites(cfg.Sites, log))
+		all = append(all, newSites(cfg.Sites, cfg.Settings, log))
 	}
 	return all
 }
--- a/internal/broker/sites.go
+++ b/internal/broker/sites.go
@@ -12,23 +12,32 @@
 // siteTick is how often sites are looked at. A loss is told by seconds of failures.
 const siteTick = 200 * time.Millisecond
 
-// Sites is which zones are lost together.
+// Sites is which zones are lost together, and what is planned for that.
 type Sites struct {
-	Names []string
-	Of    []int // site by zone; under 0: none
+	Names   []string
+	Of      []int // site by zone; under 0: none
+	Rules   []site.Rule
+	Classes []site.Class
+	Lasts   []time.Duration // first guesses of the classes' mean lengths
 }
 
-// sites tells the loss of sites from what nodes report, and logs each episode.
+// sites tells the loss of sites from what nodes report, logs each episode, and rations
+// what this manager takes while one lasts.
 type sites struct {
 	Unmoved
 	Sites
-	watch *site.Watch
-	began map[int]time.Time // of episodes that last; -1: this manager's own
-	log   *zap.Logger
+	set    control.Settings
+	watch  *site.Watch
+	guide  *site.Guide
+	listed map[control.Server]bool
+	ration bool              // the module has one
+	began  map[int]time.Time // of episodes that last; -1: this manager's own
+	log    *zap.Logger
 }
 
-func newSites(s Sites, log *zap.Logger) *sites {
-	return &sites{Sites: s, watch: site.NewWatch(s.Names), began: map[int]time.Time{}, log: log}
+func newSites(s Sites, set control.Settings, log *zap.Logger) *sites {
+	return &sites{Sites: s, set: set, watch: site.NewWatch(s.Names), listed: map[control.Server]bool{}, began: map[int]time.Time{}, log: log,
+		guide: site.NewGuide(s.Names, s.Rules, s.Classes, s.Lasts, set.CrossZoneCost, set.RackKB*control.TargetUse)}
 }
 
 // Every is part of Part.
@@ -37,10 +46,40 @@
 // Listed is part of Part.
 func (s *sites) Listed(_ time.Time, entries []control.Entry) {
 	for _, e := range entries {
-		if e.Zone >= 0 && e.Zone < len(s.Of) {
-			s.watch.Listed(s.Of[e.Zone], uint64(e.Server), e.State == control.Ready)
+		if e.State == control.Gone {
+			delete(s.listed, e.Server)
+		} else {
+			s.listed[e.Server] = true
 		}
 	}
+	for _, e := range entries {
+		if e.Zone < 0 || e.Zone >= len(s.Of) {
+			continue
+		}
+		n := site.Node{Site: s.Of[e.Zone], Rack: e.Cell % max(s.set.Racks, 1), Places: manyStreams,
+			LinkKB: s.set.Link(e, len(s.listed)) * control.TargetUse}
+		if e.Kind >= 0 && e.Kind < len(s.set.KindStreams) {
+			n.Places = float64(s.set.KindStreams[e.Kind])
+		}
+		s.watch.Listed(n.Site, uint64(e.Server), e.State == control.Ready)
+		s.guide.Listed(uint64(e.Server), n, e.State == control.Ready)
+	}
+}
+
+// manyStreams is what a node of a kind whose streams are not told is taken to run.
+const manyStreams = 1e6
+
+// Arrived is part of Part.
+func (s *sites) Arrived(now time.Time, r *Request) bool {
+	if !r.Again {
+		s.guide.Arrived(now, r.Class)
+	}
+	return false
+}
+
+// Over is part of Part.
+func (s *sites) Over(_ time.Time, class int, stood time.Duration, broken bool) {
+	s.guide.Over(class, stood, broken)
 }
 
 // Reported is part of Part.
@@ -80,8 +119,9 @@
 func (s *sites) Stood(time.Time, time.Duration) { s.watch.Forget() }
 
 // Tick is part of Part.
-func (s *sites) Tick(now time.Time, _ View) []control.Event {
+func (s *sites) Tick(now time.Time, v View) []control.Event {
 	for _, n := range s.watch.Tick(now) {
+		s.guide.Told(now, n, s.returns(now, n.Site))
 		name, state := "", n.State.String()
 		if n.Site >= 0 {
 			name = s.Names[n.Site]
@@ -99,5 +139,47 @@
 		}
 		s.log.Info("site", fields...)
 	}
-	return nil
+	for _, node := range s.watch.Ask(now) {
+		v.Probe(control.Server(node))
+	}
+	r, text := s.guide.Tick(now, s.watch, v.Share())
+	if text != "" {
+		s.log.Info("site plan", zap.String("plan", text))
+	}
+	if r == nil && !s.ration {
+		return nil
+	}
+	s.ration = r != nil
+	return []control.Event{{Kind: control.EvRation, Ration: s.told(r)}}
+}
+
+func (s *sites) returns(now time.Time, i int) int {
+	if i < 0 {
+		return 0
+	}
+	return s.watch.Returns(now, i)
+}
+
+// told is a ration as the module takes it, by zones.
+func (s *sites) told(r *site.Ration) *control.Ration {
+	if r == nil {
+		return nil
+	}
+	to := &control.Ration{Limit: r.Limit, Every: r.Every, Pace: make([]float64, len(s.Of))}
+	for zone, i := range s.Of {
+		if to.Pace[zone] = -1; i >= 0 && r.Pace[i] >= 0 {
+			to.Pace[zone] = r.Pace[i] / float64(s.zones(i))
+		}
+	}
+	return to
+}
+
+// zones is how many zones make up a site.
+func (s *sites) zones(i int) (n int) {
+	for _, o := range s.Of {
+		if o == i {
+			n++
+		}
+	}
+	return n
 }
--- a/internal/config/sites.go
+++ b/internal/config/sites.go
@@ -103,65 +103,52 @@
 	p.Nodes = make([]int, len(rules))
 	for _, r := range rules {
 		p.Names = append(p.Names, r.Name)
-		p.Fleet.Sites = append(p.Fleet.Sites, site.Site{Name: r.Name})
-		warm := r.Pace
-		if warm == 0 {
-			warm = Seconds(set.WarmAfterS)
-		}
+		warm := r.warm(set)
 		p.Returns = append(p.Returns, site.Return{Warm: warm, Share: set.StartCapacity, Returns: 1})
 	}
-	type rack struct{ site, number int }
-	racks := map[rack]*site.Rack{}
-	var order []rack
+	var nodes []site.Node
 	c.eachNode(func(e control.Entry) {
 		if e.Zone < 0 || e.Zone >= len(of) || of[e.Zone] < 0 {
 			return
 		}
-		k := rack{of[e.Zone], e.Cell % max(set.Racks, 1)}
-		r := racks[k]
-		if r == nil {
-			r = &site.Rack{UplinkKB: set.RackKB * control.TargetUse}
-			racks[k], order = r, append(order, k)
-		}
-		r.LinksKB += e.Weight * set.LinkKB * control.TargetUse
+		n := site.Node{Site: of[e.Zone], Rack: e.Cell % max(set.Racks, 1), LinkKB: e.Weight * set.LinkKB * control.TargetUse}
 		if e.Kind < len(set.KindStreams) {
-			r.Places += float64(set.KindStreams[e.Kind])
-			p.Returns[k.site].Places += float64(set.KindStreams[e.Kind])
+			n.Places = float64(set.KindStreams[e.Kind])
+			p.Returns[n.Site].Places += n.Places
 		}
-		p.Nodes[k.site]++
+		nodes = append(nodes, n)
+		p.Nodes[n.Site]++
 	})
-	if len(order) == 0 {
+	if len(nodes) == 0 {
 		return nil, fmt.Errorf("known: the list names no media node")
 	}
-	for _, k := range order {
-		s := &p.Fleet.Sites[k.site]
-		s.Racks = append(s.Racks, *racks[k])
-	}
-	whole := 0.0
-	for i := range p.Fleet.Sites {
-		kb, _ := p.Fleet.Sites[i].Room()
-		whole += kb
+	p.Fleet.Sites = site.Build(p.Names, nodes, set.RackKB*control.TargetUse)
+	p.Fleet.Classes = c.siteClasses()
+	sessions := make([]float64, len(set.Classes))
+	for k := range set.Classes {
+		o := c.Operator.Ordinary[k]
+		if o.Lasts <= 0 {
+			o.Lasts = defaultLast
+		}
+		p.Lasts, p.Rates = append(p.Lasts, o.Lasts), append(p.Rates, o.Rate)
+		sessions[k] = o.Rate * o.Lasts.Seconds()
 	}
+	p.Fleet.Demands = p.Fleet.Spread(sessions, func(i, class int) int { return rules[i].tier(class) })
+	return p, p.Fleet.Check()
+}
+
+// siteClasses are the classes as plans for sites know them.
+func (c *Config) siteClasses() (all []site.Class) {
+	set := &c.Settings
 	for k, class := range set.Classes {
 		v := site.Class{Name: c.Classes[k], Floor: class.Floor, Top: min(class.Top, len(set.RatesKB)-1)}
 		for r, kb := range set.RatesKB {
 			v.RatesKB = append(v.RatesKB, kb*class.Scale)
 			v.Worth = append(v.Worth, class.Worth*set.LadderWorth[r])
 		}
-		p.Fleet.Classes = append(p.Fleet.Classes, v)
-		o := c.Operator.Ordinary[k]
-		if o.Lasts <= 0 {
-			o.Lasts = defaultLast
-		}
-		p.Lasts, p.Rates = append(p.Lasts, o.Lasts), append(p.Rates, o.Rate)
-		for i := range rules {
-			kb, _ := p.Fleet.Sites[i].Room()
-			if n := o.Rate * o.Lasts.Seconds() * kb / max(whole, 1); n > 0 {
-				p.Fleet.Demands = append(p.Fleet.Demands, site.Demand{Class: k, Home: i, Sessions: n, Top: v.Top, Tier: rules[i].tier(k)})
-			}
-		}
+		all = append(all, v)
 	}
-	return p, p.Fleet.Check()
+	return all
 }
 
 // sites are the sites of the operator's file, and each zone that none of them names as
@@ -185,13 +172,34 @@
 		return s
 	}
 	rules, of := c.sites()
+	set := &c.Settings
 	for _, r := range rules {
 		s.Names = append(s.Names, r.Name)
+		rule := site.Rule{Warm: r.warm(set), Share: set.StartCapacity}
+		for k := range set.Classes {
+			rule.Tier = append(rule.Tier, r.tier(k))
+		}
+		s.Rules = append(s.Rules, rule)
+	}
+	for k := range set.Classes {
+		last := defaultLast
+		if k < len(c.Operator.Ordinary) && c.Operator.Ordinary[k].Lasts > 0 {
+			last = c.Operator.Ordinary[k].Lasts
+		}
+		s.Lasts = append(s.Lasts, last)
 	}
-	s.Of = of
+	s.Of, s.Classes = of, c.siteClasses()
 	return s
 }
 
+// warm is how long the nodes of a site take to bear their full load.
+func (s *Site) warm(set *control.Settings) time.Duration {
+	if s.Pace > 0 {
+		return s.Pace
+	}
+	return Seconds(set.WarmAfterS)
+}
+
 // eachNode calls do for each media node of the list that the configuration holds and
 // that neither drains nor is gone.
 func (c *Config) eachNode(do func(control.Entry)) {
--- a/internal/fleettest/steps.go
+++ b/internal/fleettest/steps.go
@@ -308,8 +308,9 @@
 //	sent NODE LEAST MOST   set-ups
 //	logged MANAGER TEXT, unlogged MANAGER TEXT
 //	unmarked TEXT          in no manager's log up to the mark
+//	order CHEAP DEAR       of the class CHEAP some are refused, and a larger part than of DEAR
 func (s *Scenario) expects(d *conf.Directive) {
-	words := []string{"served", "connects", "sent", "logged", "unlogged", "unmarked"}
+	words := []string{"served", "connects", "sent", "logged", "unlogged", "unmarked", "order"}
 	i := d.OneOf("what can be expected", words...)
 	if i < 0 {
 		return
@@ -347,6 +348,24 @@
 			}
 			return ""
 		}
+	case "order":
+		cheap, dear := d.Word("a class"), d.Word("a class")
+		e.holds = func(r *run) string {
+			part := func(class string) float64 {
+				ids := map[string]bool{}
+				for _, e := range r.Record.Events() {
+					if e.Kind == Asked && e.Class == class {
+						ids[e.ID] = true
+					}
+				}
+				refused := r.Record.Count(func(e *Event) bool { return e.Kind == Answered && e.Outcome == Refused && ids[e.ID] })
+				return float64(refused) / float64(max(len(ids), 1))
+			}
+			if c, d := part(cheap), part(dear); c == 0 || c <= d {
+				return fmt.Sprintf("%.3f of %s are refused, %.3f of %s", c, cheap, d, dear)
+			}
+			return ""
+		}
 	case "unmarked":
 		text := d.Word("a part of a line")
 		e.holds = func(r *run) string {
--- a/internal/front/message/message.go
+++ b/internal/front/message/message.go
@@ -406,6 +406,7 @@
 		return r, ErrNoClass
 	}
 	r.Description = bytes.Clone(m.SDP) // it outlives the read buffer
+	r.Again = string(m.Get("retry")) == "1" || string(m.Extra("again")) == "1"
 	return r, nil
 }
 
--- /dev/null
+++ b/internal/site/guide.go
@@ -0,0 +1,398 @@
+package site
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+)
+
+// Node is a media node as plans count it.
+type Node struct {
+	Site   int
+	Rack   int
+	LinkKB float64 // that is to be filled, a second
+	Places float64
+}
+
+// Build puts nodes together to sites. uplinkKB is what is to be filled of each rack's
+// uplink.
+func Build(names []string, nodes []Node, uplinkKB float64) []Site {
+	type rack struct{ site, number int }
+	at := map[rack]int{}
+	sites := make([]Site, len(names))
+	for i, n := range names {
+		sites[i].Name = n
+	}
+	for _, n := range nodes {
+		s := &sites[n.Site]
+		i, ok := at[rack{n.Site, n.Rack}]
+		if !ok {
+			i = len(s.Racks)
+			at[rack{n.Site, n.Rack}] = i
+			s.Racks = append(s.Racks, Rack{UplinkKB: uplinkKB})
+		}
+		s.Racks[i].LinksKB += n.LinkKB
+		s.Racks[i].Places += n.Places
+	}
+	return sites
+}
+
+// Spread is the demand of classes that is spread over sites as their room is. tier ranks
+// a class at a site, as Demand has it.
+func (f *Fleet) Spread(sessions []float64, tier func(site, class int) int) (all []Demand) {
+	whole := 0.0
+	for i := range f.Sites {
+		kb, _ := f.Sites[i].Room()
+		whole += kb
+	}
+	for k, c := range f.Classes {
+		for i := range f.Sites {
+			kb, _ := f.Sites[i].Room()
+			if n := sessions[k] * kb / max(whole, 1); n > 0 {
+				all = append(all, Demand{Class: k, Home: i, Sessions: n, Top: c.Top, Tier: tier(i, k)})
+			}
+		}
+	}
+	return all
+}
+
+// Figures of a Guide.
+const (
+	planEvery = time.Second      // while a site is lost or comes back
+	rateTime  = time.Minute      // over which arrivals are counted
+	nowTime   = 6 * time.Second  // over which they are for this manager's part of them
+	shareTime = 30 * time.Second // over which this manager's share is taken
+	beforeN   = 8                // seconds before a loss is told whose figures count: what came after it is of no use
+	// fewArrivals are taken to have come at the rate before besides those that did.
+	fewArrivals = 10
+	priorEnds   = 2 // sessions of the mean length first told, as if they had been seen
+	// leastRefused is the part of a class that a plan refuses at the least for the class
+	// to be rationed. Under it what is measured is not as good as that.
+	leastRefused = 0.02
+	// trusted is how often a return that did not last halves the pace, at the most.
+	trusted = 6
+)
+
+// Rule is what a Guide knows of a site beforehand.
+type Rule struct {
+	Tier  []int         // by class
+	Warm  time.Duration // until a node that starts cold is warm
+	Share float64       // of it that is warm at the start
+}
+
+// Ration is what one manager may do of a plan for the whole fleet.
+type Ration struct {
+	Limit []float64 // by class, sessions that it may hold at a time; under 0: any number
+	Every []float64 // by class, s between two refused viewers that come again; 0: not spread
+	Pace  []float64 // by site, sessions a second that it may send there; under 0: any number
+	// Rungs is, by class and rung, the part of what plays that does so on that rung or a
+	// lower one.
+	Rungs [][]float64
+}
+
+// Guide makes the plan for the sites that are lost, from what one manager measures, and
+// that manager's part of it. Managers need not talk: each measures its arrivals and its
+// share of the fleet, plans for the whole, and takes its share of the plan, so that the
+// parts add up to it as the shares do to one.
+//
+// What all managers are asked for is taken from before the loss: after it, what each
+// holds says where nodes are left, and no more who asks for how much. A manager's share
+// of that follows its own arrivals, which grow where other managers are lost as well.
+//
+// Times are arguments and must not step back.
+type Guide struct {
+	names    []string
+	rules    []Rule
+	classes  []Class
+	cross    float64
+	uplinkKB float64
+	nodes    map[uint64]Node
+	flows    []flow
+	share    float64     // of all managers' sessions, over shareTime; 0: not told yet
+	shareAt  time.Time   // of its last sample
+	samples  []sample    // the last ones, a second apart, the oldest first
+	before   *sample     // of the episode
+	back     []time.Time // by site, when it was heard of again; zero: long ago
+	returns  []int       // by site, of that return, within a minute
+	plan     *Plan
+	demands  []Demand // that it is for
+	planned  time.Time
+	text     string
+}
+
+// sample is what a manager measures of an ordinary second.
+type sample struct {
+	share float64
+	rates []float64 // by class, of this manager
+}
+
+// flow is what is measured of a class.
+type flow struct {
+	slow, fast counter
+	since      time.Time // the first arrival
+	played     float64   // s
+	ends       float64   // that were not broken off
+}
+
+// counter counts what comes, each less by the time since.
+type counter struct {
+	count float64
+	at    time.Time
+}
+
+func (c *counter) counted(now time.Time, over time.Duration) float64 {
+	return c.count * math.Exp(-float64(now.Sub(c.at))/float64(over))
+}
+
+func (c *counter) add(now time.Time, over time.Duration) {
+	c.count, c.at = c.counted(now, over)+1, now
+}
+
+// rate is what comes a second, of what has come since a time.
+func (c *counter) rate(now, since time.Time, over time.Duration) float64 {
+	if since.IsZero() {
+		return 0
+	}
+	seen := 1 - math.Exp(-float64(now.Sub(since))/float64(over)) // of what is counted in the long run
+	return c.counted(now, over) / over.Seconds() / max(seen, 0.05)
+}
+
+// NewGuide returns a Guide. lasts are first guesses of the classes' mean lengths.
+func NewGuide(names []string, rules []Rule, classes []Class, lasts []time.Duration, cross, uplinkKB float64) *Guide {
+	g := &Guide{names: names, rules: rules, classes: classes, cross: cross, uplinkKB: uplinkKB, nodes: map[uint64]Node{},
+		flows: make([]flow, len(classes)), back: make([]time.Time, len(names)), returns: make([]int, len(names))}
+	for k := range g.flows {
+		g.flows[k].ends = priorEnds
+		g.flows[k].played = priorEnds * lasts[k].Seconds()
+	}
+	return g
+}
+
+// Listed tells of a node of the list. One that is not ready carries nothing new.
+func (g *Guide) Listed(id uint64, n Node, ready bool) {
+	if ready && n.Site >= 0 && n.Site < len(g.names) {
+		g.nodes[id] = n
+	} else {
+		delete(g.nodes, id)
+	}
+}
+
+// Arrived tells of a viewer who asks for the first time. Those who come again are
+// counted already.
+func (g *Guide) Arrived(now time.Time, class int) {
+	f := &g.flows[class]
+	if f.since.IsZero() {
+		f.since = now
+	}
+	f.slow.add(now, rateTime)
+	f.fast.add(now, nowTime)
+}
+
+// lasts is a session's mean length in seconds.
+func (f *flow) lasts() float64 { return max(f.played/f.ends, 1) }
+
+// Over tells of a session that played for a time.
+func (g *Guide) Over(class int, stood time.Duration, broken bool) {
+	f := &g.flows[class]
+	if f.played += max(stood, 0).Seconds(); !broken {
+		f.ends++
+	}
+}
+
+// Told takes what a Watch says has changed.
+func (g *Guide) Told(now time.Time, n Notice, returns int) {
+	if n.Site < 0 {
+		return
+	}
+	switch n.State {
+	case Lost:
+		g.back[n.Site] = time.Time{}
+	case Back:
+		g.back[n.Site], g.returns[n.Site] = now, returns
+	}
+	g.planned = time.Time{} // anew
+}
+
+// warm is the part of a site's room that counts, and whether it still comes back.
+func (g *Guide) warm(now time.Time, i int) (float64, bool) {
+	r := &g.rules[i]
+	if g.back[i].IsZero() || r.Warm <= 0 {
+		return 1, false
+	}
+	part := r.Share + (1-r.Share)*float64(now.Sub(g.back[i]))/float64(r.Warm)
+	if part >= 1 && now.Sub(g.back[i]) >= r.Warm<<min(max(g.returns[i]-1, 0), trusted) {
+		return 1, false
+	}
+	return min(part, 1), true
+}
+
+// Plan is the last one, or nil while no site is lost or comes back.
+func (g *Guide) Plan() *Plan { return g.plan }
+
+// Tick returns this manager's ration while a site is lost or comes back, nil else, and
+// what has changed of it in words, or "". share is its part of the fleet's sessions.
+// A plan that can't be made leaves the last good one.
+func (g *Guide) Tick(now time.Time, w *Watch, share float64) (*Ration, string) {
+	var lost []int
+	returning := false
+	for i := range g.names {
+		if w.State(i) == Lost {
+			lost = append(lost, i)
+		}
+		_, comes := g.warm(now, i)
+		returning = returning || comes
+	}
+	if len(lost) == 0 && !returning {
+		g.ordinary(now, share)
+		return nil, g.say("")
+	}
+	if w.Alone() {
+		return nil, g.say("")
+	}
+	if g.before == nil {
+		g.before = &sample{min(max(share, 1e-6), 1), g.rates(now)}
+		if len(g.samples) > 0 {
+			g.before = &g.samples[0]
+		}
+	}
+	share = g.part(now)
+	if g.plan == nil || now.Sub(g.planned) >= planEvery {
+		f := g.fleet(now)
+		if p, err := Make(f, lost...); err == nil {
+			g.plan, g.demands, g.planned = &p, f.Demands, now
+		}
+	}
+	if g.plan == nil {
+		return nil, ""
+	}
+	return g.ration(now, share)
+}
+
+// ordinary takes a sample of a time in which all sites are there.
+func (g *Guide) ordinary(now time.Time, share float64) {
+	g.plan, g.before = nil, nil
+	if now.Sub(g.shareAt) < time.Second {
+		return
+	}
+	if g.share == 0 {
+		g.share = share
+	}
+	g.share += (share - g.share) * min(float64(now.Sub(g.shareAt))/float64(shareTime), 1)
+	g.shareAt = now
+	if len(g.samples) == beforeN {
+		g.samples = append(g.samples[:0:0], g.samples[1:]...) // one may be kept as before
+	}
+	g.samples = append(g.samples, sample{min(max(g.share, 1e-6), 1), g.rates(now)})
+}
+
+func (g *Guide) rates(now time.Time) (all []float64) {
+	for k := range g.flows {
+		all = append(all, g.flows[k].slow.rate(now, g.flows[k].since, rateTime))
+	}
+	return all
+}
+
+// part is this manager's share of what all are asked for now.
+func (g *Guide) part(now time.Time) float64 {
+	mine, was := 0.0, 0.0
+	for k := range g.flows {
+		mine += g.flows[k].fast.rate(now, g.flows[k].since, nowTime)
+		was += g.before.rates[k]
+	}
+	if was <= 0 {
+		return g.before.share
+	}
+	// Few arrivals say little: as if some more had come at the rate before.
+	n := mine * nowTime.Seconds()
+	grown := (n + fewArrivals) / (was*nowTime.Seconds() + fewArrivals)
+	return min(g.before.share*grown, 1)
+}
+
+// fleet is all sites, of those that come back what is warm, and all managers' demand.
+func (g *Guide) fleet(now time.Time) *Fleet {
+	f := &Fleet{Classes: g.classes, Cross: g.cross}
+	nodes := make([]Node, 0, len(g.nodes))
+	for _, n := range g.nodes {
+		nodes = append(nodes, n)
+	}
+	f.Sites = Build(g.names, nodes, g.uplinkKB)
+	sessions := make([]float64, len(g.classes))
+	for k := range g.flows {
+		sessions[k] = g.before.rates[k] / g.before.share * g.flows[k].lasts()
+	}
+	f.Demands = f.Spread(sessions, func(site, class int) int { return g.rules[site].Tier[class] })
+	for i := range f.Sites {
+		part, _ := g.warm(now, i)
+		for r := range f.Sites[i].Racks {
+			k := &f.Sites[i].Racks[r]
+			k.LinksKB, k.UplinkKB, k.Places = k.LinksKB*part, k.UplinkKB*part, k.Places*part
+		}
+	}
+	return f
+}
+
+func (g *Guide) ration(now time.Time, share float64) (*Ration, string) {
+	p := g.plan
+	r := &Ration{Limit: make([]float64, len(g.classes)), Every: make([]float64, len(g.classes)), Pace: make([]float64, len(g.names))}
+	taken, refused := make([]float64, len(g.classes)), make([]float64, len(g.classes))
+	for _, c := range g.classes {
+		r.Rungs = append(r.Rungs, make([]float64, len(c.RatesKB)))
+	}
+	for i, t := range p.Takes {
+		k := g.demands[i].Class
+		for rung, n := range t.Rungs {
+			for ; rung < len(r.Rungs[k]); rung++ {
+				r.Rungs[k][rung] += n
+			}
+		}
+		taken[k], refused[k] = taken[k]+t.Taken(), refused[k]+t.Refused
+	}
+	var words []string
+	for k, c := range g.classes {
+		for rung := range r.Rungs[k] {
+			r.Rungs[k][rung] /= max(taken[k], 1e-9)
+		}
+		if taken[k] <= 0 {
+			r.Rungs[k] = nil
+		}
+		r.Limit[k] = -1
+		if all := taken[k] + refused[k]; refused[k] <= leastRefused*all {
+			continue
+		}
+		r.Limit[k] = share * taken[k]
+		r.Every[k] = g.flows[k].lasts() / max(r.Limit[k], 1e-3)
+		words = append(words, c.Name)
+	}
+	for i := range g.names {
+		r.Pace[i] = -1
+		if _, comes := g.warm(now, i); comes {
+			back := Return{Warm: g.rules[i].Warm, Share: g.rules[i].Share, Returns: g.returns[i]}
+			for _, n := range g.nodes {
+				if n.Site == i {
+					back.Places += n.Places
+				}
+			}
+			r.Pace[i] = share * back.Pace(now.Sub(g.back[i]))
+		}
+	}
+	text := "all classes are taken"
+	if len(words) > 0 {
+		text = "rationed: " + strings.Join(words, " ")
+	}
+	if text = g.say(text); text != "" && p.Before > 0 {
+		text += fmt.Sprintf("; %.0f%% of the worth is kept", 100*p.Worth/p.Before)
+	}
+	return r, text
+}
+
+// say returns a text once.
+func (g *Guide) say(text string) string {
+	if text == g.text {
+		return ""
+	}
+	if g.text = text; text == "" {
+		return "no ration any more"
+	}
+	return text
+}
--- a/internal/site/watch.go
+++ b/internal/site/watch.go
@@ -63,6 +63,10 @@
 	// longBack ends the return at the latest, if nothing fails: nodes that nobody needs
 	// are not heard of.
 	longBack = 30 * time.Second
+	// askTime without any sign of a site has one node of it asked for a report, and in
+	// doubt, after a failure with no word since, doubtTime has the next one asked.
+	askTime   = time.Second
+	doubtTime = 200 * time.Millisecond
 	// trustTime is how long a return is held against a site that is lost again.
 	trustTime = time.Minute
 )
@@ -92,6 +96,9 @@
 	since   time.Time
 	lost    time.Time   // when it was lost last
 	returns []time.Time // within trustTime
+	signed  time.Time   // the last sign of any kind
+	asked   time.Time   // when one of its nodes was asked last, and which
+	last    uint64
 }
 
 // row is the failures at a site with no word of it between them.
@@ -148,6 +155,7 @@
 		if n == nil {
 			continue
 		}
+		s.signed = now
 		if sign == Heard {
 			*n = seen{heard: now}
 			s.heard, s.row = now, row{}
@@ -334,6 +342,39 @@
 	return s.state, ""
 }
 
+// Ask returns nodes to be asked for a report, in turn, so that a site is watched that
+// this manager sends little to, as one that prefers another does, and so that the return
+// of one is seen to which nothing is sent. It is one node a second of a site that nothing
+// else is seen of, and five where there is doubt.
+func (w *Watch) Ask(now time.Time) (nodes []uint64) {
+	for i := range w.sites {
+		s := &w.sites[i]
+		pause := askTime
+		if s.row.signs > 0 && s.state != Lost && now.Sub(s.row.last) <= freshTime {
+			pause = doubtTime
+		}
+		if len(s.nodes) == 0 || now.Sub(s.signed) < pause || now.Sub(s.asked) < pause {
+			continue
+		}
+		var next, first uint64
+		found, any := false, false
+		for id := range s.nodes {
+			if id > s.last && (!found || id < next) {
+				next, found = id, true
+			}
+			if !any || id < first {
+				first, any = id, true
+			}
+		}
+		if !found {
+			next = first
+		}
+		s.asked, s.last = now, next
+		nodes = append(nodes, next)
+	}
+	return nodes
+}
+
 // Nodes are the nodes of a site that can't be reached at the moment, in order.
 func (w *Watch) Nodes(now time.Time, site int) (failing []uint64) {
 	for _, id := range slices.Sorted(maps.Keys(w.sites[site].nodes)) {
