Play the loss of a whole site, of its managers, of two of three, and wrong lists

They found: a manager that had just begun took the first second's figures for the demand (now the operator's ordinary block stands in, and the newest sample); sessions broken off by the loss made all look longer; a lost site that is off the list for good stayed lost (a minute now). The rig's viewers look elsewhere when their hall's managers can't be reached.

--- a/internal/broker/loss_test.go
+++ b/internal/broker/loss_test.go
@@ -74,7 +74,7 @@
 			}}, e.seed)
 		defer fleet.Close()
 		rate := e.load * set.FleetKB / 640 / (0.35*45.5 + 0.65*35)
-		sites := broker.Sites{Names: []string{"a", "b"}, Of: []int{0, 1}, Lasts: []time.Duration{45500 * time.Millisecond, 35 * time.Second},
+		sites := broker.Sites{Names: []string{"a", "b"}, Of: []int{0, 1}, Expect: []site.Expect{{Lasts: 45500 * time.Millisecond}, {Lasts: 35 * time.Second}},
 			Rules: []site.Rule{{Tier: []int{0, 0}, Warm: 3 * time.Second, Share: 0.2}, {Tier: []int{0, 0}, Warm: 3 * time.Second, Share: 0.2}}}
 		for k, c := range set.Classes {
 			class := site.Class{Name: []string{"clip", "feed"}[k], Floor: c.Floor, Top: c.Top, RatesKB: set.RatesKB}
--- a/internal/broker/sites.go
+++ b/internal/broker/sites.go
@@ -18,7 +18,7 @@
 	Of      []int // site by zone; under 0: none
 	Rules   []site.Rule
 	Classes []site.Class
-	Lasts   []time.Duration // first guesses of the classes' mean lengths
+	Expect  []site.Expect // by class
 }
 
 // sites tells the loss of sites from what nodes report, logs each episode, and rations
@@ -37,7 +37,7 @@
 
 func newSites(s Sites, set control.Settings, log *zap.Logger) *sites {
 	return &sites{Sites: s, set: set, watch: site.NewWatch(s.Names), listed: map[control.Server]bool{}, began: map[int]time.Time{}, log: log,
-		guide: site.NewGuide(s.Names, s.Rules, s.Classes, s.Lasts, set.CrossZoneCost, set.RackKB*control.TargetUse)}
+		guide: site.NewGuide(s.Names, s.Rules, s.Classes, s.Expect, set.CrossZoneCost, set.RackKB*control.TargetUse)}
 }
 
 // Every is part of Part.
@@ -144,7 +144,8 @@
 	}
 	r, text := s.guide.Tick(now, s.watch, v.Share())
 	if text != "" {
-		s.log.Info("site plan", zap.String("plan", text))
+		sessions, share := s.guide.Measured()
+		s.log.Info("site plan", zap.String("plan", text), zap.Float64s("sessions", sessions), zap.Float64("share", share))
 	}
 	if r == nil && !s.ration {
 		return nil
--- a/internal/config/sites.go
+++ b/internal/config/sites.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -182,11 +183,12 @@
 		s.Rules = append(s.Rules, rule)
 	}
 	for k := range set.Classes {
-		last := defaultLast
-		if k < len(c.Operator.Ordinary) && c.Operator.Ordinary[k].Lasts > 0 {
-			last = c.Operator.Ordinary[k].Lasts
+		e := site.Expect{Lasts: defaultLast}
+		if k < len(c.Operator.Ordinary) {
+			e.Rate = c.Operator.Ordinary[k].Rate
+			e.Lasts = cmp.Or(c.Operator.Ordinary[k].Lasts, defaultLast)
 		}
-		s.Lasts = append(s.Lasts, last)
+		s.Expect = append(s.Expect, e)
 	}
 	s.Of, s.Classes = of, c.siteClasses()
 	return s
--- a/internal/fleettest/viewer.go
+++ b/internal/fleettest/viewer.go
@@ -248,6 +248,7 @@
 			if id != "" {
 				c.Record.Add(Event{Kind: Dropped, Manager: manager, ID: id})
 			}
+			a.hall = ""   // it looks elsewhere
 			c.again(a, 0) // nobody has taken it
 			return ""
 		}
@@ -369,6 +370,7 @@
 		c.ask(a, id)
 	}
 	for _, a := range lost {
+		a.hall = ""
 		c.again(a, 0)
 	}
 }
--- a/internal/site/guide.go
+++ b/internal/site/guide.go
@@ -131,8 +131,9 @@
 type flow struct {
 	slow, fast counter
 	since      time.Time // the first arrival
+	expect     float64   // a second, over all managers
 	played     float64   // s
-	ends       float64   // that were not broken off
+	ends       float64
 }
 
 // counter counts what comes, each less by the time since.
@@ -158,13 +159,20 @@
 	return c.counted(now, over) / over.Seconds() / max(seen, 0.05)
 }
 
-// NewGuide returns a Guide. lasts are first guesses of the classes' mean lengths.
-func NewGuide(names []string, rules []Rule, classes []Class, lasts []time.Duration, cross, uplinkKB float64) *Guide {
+// Expect is what is taken to come of a class until it is measured.
+type Expect struct {
+	Rate  float64 // sessions a second over all managers; 0: not told
+	Lasts time.Duration
+}
+
+// NewGuide returns a Guide.
+func NewGuide(names []string, rules []Rule, classes []Class, expect []Expect, cross, uplinkKB float64) *Guide {
 	g := &Guide{names: names, rules: rules, classes: classes, cross: cross, uplinkKB: uplinkKB, nodes: map[uint64]Node{},
 		flows: make([]flow, len(classes)), back: make([]time.Time, len(names)), returns: make([]int, len(names))}
 	for k := range g.flows {
 		g.flows[k].ends = priorEnds
-		g.flows[k].played = priorEnds * lasts[k].Seconds()
+		g.flows[k].played = priorEnds * expect[k].Lasts.Seconds()
+		g.flows[k].expect = expect[k].Rate
 	}
 	return g
 }
@@ -192,10 +200,11 @@
 // lasts is a session's mean length in seconds.
 func (f *flow) lasts() float64 { return max(f.played/f.ends, 1) }
 
-// Over tells of a session that played for a time.
+// Over tells of a session that played for a time. One that was broken off says nothing:
+// they come in crowds, when a site is lost, and would make all look longer.
 func (g *Guide) Over(class int, stood time.Duration, broken bool) {
-	f := &g.flows[class]
-	if f.played += max(stood, 0).Seconds(); !broken {
+	if f := &g.flows[class]; !broken {
+		f.played += max(stood, 0).Seconds()
 		f.ends++
 	}
 }
@@ -252,8 +261,10 @@
 	}
 	if g.before == nil {
 		g.before = &sample{min(max(share, 1e-6), 1), g.rates(now)}
-		if len(g.samples) > 0 {
+		if n := len(g.samples); n == beforeN {
 			g.before = &g.samples[0]
+		} else if n > 0 { // of a manager that has just begun the newest are the best
+			g.before = &g.samples[n-1]
 		}
 	}
 	share = g.part(now)
@@ -288,7 +299,16 @@
 
 func (g *Guide) rates(now time.Time) (all []float64) {
 	for k := range g.flows {
-		all = append(all, g.flows[k].slow.rate(now, g.flows[k].since, rateTime))
+		f := &g.flows[k]
+		rate := f.slow.rate(now, f.since, rateTime)
+		if f.expect > 0 {
+			young := 1.0 // the part of what is counted in the long run that has not been
+			if !f.since.IsZero() {
+				young = math.Exp(-float64(now.Sub(f.since)) / float64(rateTime))
+			}
+			rate = f.slow.counted(now, rateTime)/rateTime.Seconds() + young*f.expect*g.share
+		}
+		all = append(all, rate)
 	}
 	return all
 }
@@ -317,10 +337,7 @@
 		nodes = append(nodes, n)
 	}
 	f.Sites = Build(g.names, nodes, g.uplinkKB)
-	sessions := make([]float64, len(g.classes))
-	for k := range g.flows {
-		sessions[k] = g.before.rates[k] / g.before.share * g.flows[k].lasts()
-	}
+	sessions, _ := g.Measured()
 	f.Demands = f.Spread(sessions, func(site, class int) int { return g.rules[site].Tier[class] })
 	for i := range f.Sites {
 		part, _ := g.warm(now, i)
@@ -386,6 +403,18 @@
 	return r, text
 }
 
+// Measured is what the plan rests on: by class, how many sessions all managers are asked
+// for at a time, and this manager's share of them before the loss.
+func (g *Guide) Measured() (sessions []float64, share float64) {
+	if g.before == nil {
+		return nil, 0
+	}
+	for k := range g.flows {
+		sessions = append(sessions, g.before.rates[k]/g.before.share*g.flows[k].lasts())
+	}
+	return sessions, g.before.share
+}
+
 // say returns a text once.
 func (g *Guide) say(text string) string {
 	if text == g.text {
--- a/internal/site/guide_test.go
+++ b/internal/site/guide_test.go
@@ -21,7 +21,7 @@
 	}
 	rule := Rule{Tier: []int{0, 0}, Warm: 4 * time.Second, Share: 0.25}
 	for range managers {
-		guide := NewGuide([]string{"a", "b"}, []Rule{rule, rule}, classes, []time.Duration{20 * time.Second, 20 * time.Second}, 0.02, 1e9)
+		guide := NewGuide([]string{"a", "b"}, []Rule{rule, rule}, classes, []Expect{{Lasts: 20 * time.Second}, {Lasts: 20 * time.Second}}, 0.02, 1e9)
 		w := NewWatch([]string{"a", "b"})
 		for n := range 8 {
 			guide.Listed(uint64(n), Node{Site: n / 4, Rack: n, LinkKB: 10000, Places: 100}, true)
--- a/internal/site/watch.go
+++ b/internal/site/watch.go
@@ -67,6 +67,8 @@
 	// doubt, after a failure with no word since, doubtTime has the next one asked.
 	askTime   = time.Second
 	doubtTime = 200 * time.Millisecond
+	// goneTime is how long a lost site is on no list until it is no longer waited for.
+	goneTime = time.Minute
 	// trustTime is how long a return is held against a site that is lost again.
 	trustTime = time.Minute
 )
@@ -99,6 +101,7 @@
 	signed  time.Time   // the last sign of any kind
 	asked   time.Time   // when one of its nodes was asked last, and which
 	last    uint64
+	listed  time.Time // when it had a node that is expected to be there
 }
 
 // row is the failures at a site with no word of it between them.
@@ -285,7 +288,10 @@
 	}
 	for i := range w.sites {
 		s, c := &w.sites[i], &counts[i]
-		if c.nodes == 0 && s.state != Lost {
+		if c.nodes > 0 || s.listed.IsZero() {
+			s.listed = now
+		}
+		if c.nodes == 0 && (s.state != Lost || now.Sub(s.listed) > goneTime) {
 			if s.state != Present {
 				s.state, s.since = Present, now
 				notices = append(notices, Notice{Site: i, Text: "none of its nodes is expected to be there: they drain, or are off the list"})
