--- a/cmd/millethinge/sites.go
+++ b/cmd/millethinge/sites.go
@@ -1,16 +1,21 @@
 package main
 
 import (
+	"bufio"
+	"encoding/json"
 	"fmt"
+	"os"
 	"slices"
 	"strings"
 
+	"millethinge/internal/broker"
 	"millethinge/internal/config"
 	"millethinge/internal/site"
 )
 
 type sitesCmd struct {
-	Lost []string `placeholder:"SITE" help:"Only the loss of these, together (default: each, and each pair where there are more than two)."`
+	Lost   []string `placeholder:"SITE" help:"Only the loss of these, together (default: each, and each pair where there are more than two)."`
+	Record string   `type:"existingfile" placeholder:"LOG" help:"Take what comes from the last 'site demand' line of a running manager's log, not from the ordinary block."`
 }
 
 // Run tells what the loss of each site would mean, by the configuration's list and
@@ -20,6 +25,11 @@
 	if err != nil {
 		return err
 	}
+	if v.Record != "" {
+		if err := v.measured(&cfg); err != nil {
+			return fmt.Errorf("--record: %w", err)
+		}
+	}
 	p, err := cfg.Sites()
 	if err != nil {
 		return err
@@ -52,6 +62,49 @@
 	return nil
 }
 
+// measured takes what comes from the last line of a log that tells it.
+func (v sitesCmd) measured(cfg *config.Config) error {
+	f, err := os.Open(v.Record)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	type told struct {
+		Msg   string    `json:"msg"`
+		Rates []float64 `json:"rates"`
+		Lasts []float64 `json:"lasts"` // s
+	}
+	var last told
+	found := false
+	lines := bufio.NewScanner(f)
+	lines.Buffer(nil, mostLine)
+	for lines.Scan() {
+		var line told
+		if json.Unmarshal(lines.Bytes(), &line) == nil && line.Msg == broker.DemandLine {
+			last, found = line, true
+		}
+	}
+	switch {
+	case lines.Err() != nil:
+		return fmt.Errorf("%s: %w", v.Record, lines.Err())
+	case !found:
+		return fmt.Errorf("%s has no line %q: managers write it once a minute where the operator's file names a site", v.Record, broker.DemandLine)
+	case len(last.Rates) != len(cfg.Classes) || len(last.Lasts) != len(cfg.Classes):
+		return fmt.Errorf("%s tells of %d classes, this deployment has %d", v.Record, len(last.Rates), len(cfg.Classes))
+	}
+	cfg.Operator.Ordinary = nil
+	for k := range last.Rates {
+		if !(last.Rates[k] >= 0) || !(last.Lasts[k] > 0) {
+			return fmt.Errorf("%s: class %s: %g sessions a second of %g s", v.Record, cfg.Classes[k], last.Rates[k], last.Lasts[k])
+		}
+		cfg.Operator.Ordinary = append(cfg.Operator.Ordinary, config.Ordinary{Rate: last.Rates[k], Lasts: config.Seconds(last.Lasts[k])})
+	}
+	return nil
+}
+
+// mostLine is the longest line of a log that is read.
+const mostLine = 1 << 20
+
 // tell prints one loss.
 func (v sitesCmd) tell(a *app, p *config.SitePlan, l *site.Plan) {
 	var names []string
--- a/cmd/millethinge/sites_test.go
+++ b/cmd/millethinge/sites_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 )
@@ -33,6 +35,27 @@
 	if code, _, errs := try(t, nil, "", "--platform", halls, "--operator", hallSites, "sites", "--lost", "hall-c"); code == 0 || !strings.Contains(errs, `"hall-c" is no site`) {
 		t.Error(code, errs)
 	}
+	record := func(text string) (int, string, string) {
+		log := filepath.Join(t.TempDir(), "log")
+		if err := os.WriteFile(log, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return try(t, nil, "", "--platform", halls, "--operator", hallSites, "sites", "--record", log)
+	}
+	lines := `{"msg":"site demand","rates":[9,9],"lasts":[45,35]}
+panic: not a line of the log
+{"msg":"site demand","rates":[0.1,0.2],"lasts":[50,40]}
+{"msg":"site","rates":[7,7]}
+`
+	if code, out, errs := record(lines); code != 0 || !strings.Contains(out, "clip: 5.0 sessions") || !strings.Contains(out, "feed: 8.0 sessions") {
+		t.Error(code, out, errs)
+	}
+	for text, want := range map[string]string{"{}": `has no line "site demand"`, `{"msg":"site demand","rates":[1],"lasts":[1]}`: "tells of 1 classes",
+		`{"msg":"site demand","rates":[1,-1],"lasts":[1,1]}`: "class feed: -1 sessions"} {
+		if code, _, errs := record(text); code == 0 || !strings.Contains(errs, want) {
+			t.Errorf("%d, %q, want %q", code, errs, want)
+		}
+	}
 	if code, _, errs := try(t, nil, "", "--platform", halls, "--operator", "../../example/operator.conf", "sites"); code == 0 || !strings.Contains(errs, "an ordinary block is wanted") {
 		t.Error(code, errs)
 	}
--- a/internal/broker/sites.go
+++ b/internal/broker/sites.go
@@ -9,6 +9,13 @@
 	"millethinge/internal/site"
 )
 
+// demandEvery is how often what comes is logged, for millethinge sites --record.
+const demandEvery = time.Minute
+
+// DemandLine is the message of the log line that tells what comes: by class, the
+// sessions a second of all managers, as this one measures them, and their mean lengths.
+const DemandLine = "site demand"
+
 // siteTick is how often sites are looked at. A loss is told by seconds of failures.
 const siteTick = 200 * time.Millisecond
 
@@ -30,6 +37,7 @@
 	watch  *site.Watch
 	guide  *site.Guide
 	listed map[control.Server]bool
+	logged time.Time         // what comes
 	ration bool              // the module has one
 	began  map[int]time.Time // of episodes that last; -1: this manager's own
 	log    *zap.Logger
@@ -142,6 +150,12 @@
 	for _, node := range s.watch.Ask(now) {
 		v.Probe(control.Server(node))
 	}
+	if now.Sub(s.logged) >= demandEvery {
+		if rates, lasts, ok := s.guide.Demand(now); ok {
+			s.logged = now
+			s.log.Info(DemandLine, zap.Float64s("rates", rates), zap.Durations("lasts", lasts))
+		}
+	}
 	r, text := s.guide.Tick(now, s.watch, v.Share())
 	if text != "" {
 		sessions, share := s.guide.Measured()
--- a/internal/site/guide.go
+++ b/internal/site/guide.go
@@ -403,6 +403,20 @@
 	return r, text
 }
 
+// Demand is what all managers are asked for, as this one measures it: by class, sessions
+// a second and how long they last in the mean. False: not measured yet.
+func (g *Guide) Demand(now time.Time) (rates []float64, lasts []time.Duration, ok bool) {
+	if g.share <= 0 {
+		return nil, nil, false
+	}
+	for k, r := range g.rates(now) {
+		rates = append(rates, r/g.share)
+		lasts = append(lasts, time.Duration(g.flows[k].lasts()*float64(time.Second)))
+		ok = ok || r > 0
+	}
+	return rates, lasts, ok
+}
+
 // Measured is what the plan rests on: by class, how many sessions all managers are asked
 // for at a time, and this manager's share of them before the loss.
 func (g *Guide) Measured() (sessions []float64, share float64) {
