--- a/internal/fleettest/scenario_test.go
+++ b/internal/fleettest/scenario_test.go
@@ -1,6 +1,7 @@
 package fleettest
 
 import (
+	"flag"
 	"os"
 	"path/filepath"
 	"strings"
@@ -20,11 +21,14 @@
 // folder is for what the tests build.
 var folder string
 
+var onlyOne = flag.String("scenario", "", "play only the scenario of this name")
+
 func TestMain(m *testing.M) {
 	if breaks := os.Getenv(badEnv); breaks != "" {
 		runBad(breaks)
 		return
 	}
+	flag.Parse()
 	var err error
 	if folder, err = os.MkdirTemp("", "fleettest"); err != nil {
 		panic(err)
@@ -87,6 +91,9 @@
 	}
 	var all []*played
 	for _, file := range files {
+		if *onlyOne != "" && strings.TrimSuffix(filepath.Base(file), ".txt") != *onlyOne {
+			continue
+		}
 		all = append(all, play(t, strings.TrimSuffix(filepath.Base(file), ".txt"), "", program))
 	}
 	for _, p := range all {
