--- a/internal/site/guide.go
+++ b/internal/site/guide.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"strings"
 	"time"
 )
@@ -236,9 +238,6 @@
 	return min(part, 1), true
 }
 
-// Plan is the last one, or nil while no site is lost or comes back.
-func (g *Guide) Plan() *Plan { return g.plan }
-
 // Tick returns this manager's ration while a site is lost or comes back, nil else, and
 // what has changed of it in words, or "". share is its part of the fleet's sessions.
 // A plan that can't be made leaves the last good one.
@@ -333,8 +332,8 @@
 func (g *Guide) fleet(now time.Time) *Fleet {
 	f := &Fleet{Classes: g.classes, Cross: g.cross}
 	nodes := make([]Node, 0, len(g.nodes))
-	for _, n := range g.nodes {
-		nodes = append(nodes, n)
+	for _, id := range slices.Sorted(maps.Keys(g.nodes)) { // the same plan each time
+		nodes = append(nodes, g.nodes[id])
 	}
 	f.Sites = Build(g.names, nodes, g.uplinkKB)
 	sessions, _ := g.Measured()
