--- a/internal/media/conn.go
+++ b/internal/media/conn.go
@@ -52,7 +52,6 @@
 // seen the end, is still read: a release that crosses the close is not lost.
 func (c *conn) retire(within time.Duration) {
 	c.dead = true
-	c.touched = time.Time{} // the node's close is expected at any time
 	c.closeAt = time.Now().Add(within)
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		half.CloseWrite()
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -454,7 +454,7 @@
 // closed ends what was open on a connection. A byte of each SETUP has left, so
 // each may have run.
 func (n *node) closed(m closed) {
-	if m.err != io.EOF || !n.mayIdle(m.conn) {
+	if m.err != io.EOF {
 		n.broke(m.conn)
 	}
 	m.conn.dead = true
@@ -496,13 +496,6 @@
 	}
 }
 
-// mayIdle tells whether a connection has carried nothing for so long that its node may
-// close it as idle. Guard: a close before that is none of the node's own wish, though it
-// comes in order: what was on its way may be cut off in front of it.
-func (n *node) mayIdle(c *conn) bool {
-	return c.open == 0 && time.Since(c.touched) >= n.pool.cfg.ConnIdle*usablePart/10
-}
-
 // giveAway notes a set-up that nobody waits for any more.
 func (n *node) giveAway(id control.SessionID) { n.given[id] = time.Now().Add(keepGiven) }
 
