Read the site slice once more: loads stated as played, one node, one warm-up

A node of the list was made for plans twice, in config without the rule for live weights; broker.SiteNode is the one. The warm-up was reckoned twice; Return.Warmed is the one.

--- a/internal/broker/sites.go
+++ b/internal/broker/sites.go
@@ -64,16 +64,21 @@
 		if e.Zone < 0 || e.Zone >= len(s.Of) {
 			continue
 		}
-		n := site.Node{Site: s.Of[e.Zone], Rack: e.Cell % max(s.set.Racks, 1), Places: manyStreams,
-			LinkKB: s.set.Link(e, len(s.listed)) * control.TargetUse}
-		if e.Kind >= 0 && e.Kind < len(s.set.KindStreams) {
-			n.Places = float64(s.set.KindStreams[e.Kind])
-		}
+		n := SiteNode(&s.set, e, s.Of[e.Zone], len(s.listed))
 		s.watch.Listed(n.Site, uint64(e.Server), e.State == control.Ready)
 		s.guide.Listed(uint64(e.Server), n, e.State == control.Ready)
 	}
 }
 
+// SiteNode is an entry of a list of so many nodes as plans for sites count it.
+func SiteNode(set *control.Settings, e control.Entry, of, servers int) site.Node {
+	n := site.Node{Site: of, Rack: e.Cell % max(set.Racks, 1), LinkKB: set.Link(e, servers) * control.TargetUse, Places: manyStreams}
+	if e.Kind >= 0 && e.Kind < len(set.KindStreams) {
+		n.Places = float64(set.KindStreams[e.Kind])
+	}
+	return n
+}
+
 // manyStreams is what a node of a kind whose streams are not told is taken to run.
 const manyStreams = 1e6
 
--- a/internal/config/sites.go
+++ b/internal/config/sites.go
@@ -107,19 +107,18 @@
 		warm := r.warm(set)
 		p.Returns = append(p.Returns, site.Return{Warm: warm, Share: set.StartCapacity, Returns: 1})
 	}
+	var listed []control.Entry
+	c.eachNode(func(e control.Entry) { listed = append(listed, e) })
 	var nodes []site.Node
-	c.eachNode(func(e control.Entry) {
+	for _, e := range listed {
 		if e.Zone < 0 || e.Zone >= len(of) || of[e.Zone] < 0 {
-			return
-		}
-		n := site.Node{Site: of[e.Zone], Rack: e.Cell % max(set.Racks, 1), LinkKB: e.Weight * set.LinkKB * control.TargetUse}
-		if e.Kind < len(set.KindStreams) {
-			n.Places = float64(set.KindStreams[e.Kind])
-			p.Returns[n.Site].Places += n.Places
+			continue
 		}
+		n := broker.SiteNode(set, e, of[e.Zone], len(listed))
 		nodes = append(nodes, n)
 		p.Nodes[n.Site]++
-	})
+		p.Returns[n.Site].Places += n.Places
+	}
 	if len(nodes) == 0 {
 		return nil, fmt.Errorf("known: the list names no media node")
 	}
--- a/internal/fleettest/judge_test.go
+++ b/internal/fleettest/judge_test.go
@@ -195,7 +195,7 @@
 			}
 			s, err := Parse("judge", []byte("hall a {\n managers m1\n nodes a1 a2\n}\nload {\n again 0\n clip "+class+"\n left 500ms\n}\n"+
 				"node {\n length 100ms 200ms\n answer 50ms 60ms\n}\nact \"viewers come\" {\n do burst 3\n}\n"+act+
-				"act \"they have gone\" {\n when after 1500ms\n do rate 0\n}\n"))
+				"act \"they have gone\" {\n when after 1500ms\n do rate 0\n}\n"), nil)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/fleettest/scenario.go
+++ b/internal/fleettest/scenario.go
@@ -51,12 +51,13 @@
 
 const longest = time.Minute
 
-// Parse reads a scenario. The error is a *conf.Faults, which tells all that is wrong.
-func Parse(name string, text []byte) (*Scenario, error) {
+// Parse reads a scenario. open reads what it includes; nil: nothing can be included. The
+// error is a *conf.Faults, which tells all that is wrong.
+func Parse(name string, text []byte, open conf.Open) (*Scenario, error) {
 	s := &Scenario{Name: name, Plan: Plan{Seed: 1, Patience: patience, Model: DefaultModel, Terms: DefaultTerms,
 		Load: Load{Clip: 0.35, Left: 3 * time.Second, Again: 0.9, Titles: 8, Weight: map[string]float64{}}}}
 	faults := new(conf.Faults)
-	conf.Read(conf.Parse(name, text, nil, faults), nil, faults, s.keys())
+	conf.Read(conf.Parse(name, text, open, faults), nil, faults, s.keys())
 	for _, f := range s.check {
 		f()
 	}
--- a/internal/fleettest/scenario_test.go
+++ b/internal/fleettest/scenario_test.go
@@ -54,11 +54,12 @@
 // play begins a scenario with a program that build builds.
 func play(t *testing.T, name, rule string, build func() (string, error)) *played {
 	t.Helper()
-	text, err := os.ReadFile(filepath.Join("testdata", name+".txt"))
+	file := filepath.Join("testdata", name+".txt")
+	text, err := os.ReadFile(file)
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := Parse(name+".txt", text)
+	s, err := Parse(file, text, os.ReadFile)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/site/guide.go
+++ b/internal/site/guide.go
@@ -231,11 +231,11 @@
 	if g.back[i].IsZero() || r.Warm <= 0 {
 		return 1, false
 	}
-	part := r.Share + (1-r.Share)*float64(now.Sub(g.back[i]))/float64(r.Warm)
+	part := Return{Warm: r.Warm, Share: r.Share}.Warmed(now.Sub(g.back[i]))
 	if part >= 1 && now.Sub(g.back[i]) >= r.Warm<<min(max(g.returns[i]-1, 0), trusted) {
 		return 1, false
 	}
-	return min(part, 1), true
+	return part, true
 }
 
 // Tick returns this manager's ration while a site is lost or comes back, nil else, and
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -546,8 +546,15 @@
 	if r.Warm <= 0 {
 		return math.Inf(1)
 	}
-	warm := min(r.Share+(1-r.Share)*float64(max(since, 0))/float64(r.Warm), 1)
-	return r.Places / r.Warm.Seconds() * warm * math.Pow(0.5, float64(max(r.Returns-1, 0)))
+	return r.Places / r.Warm.Seconds() * r.Warmed(since) * math.Pow(0.5, float64(max(r.Returns-1, 0)))
+}
+
+// Warmed is the part of the site's room that has warmed after a time.
+func (r Return) Warmed(since time.Duration) float64 {
+	if r.Warm <= 0 {
+		return 1
+	}
+	return min(r.Share+(1-r.Share)*float64(max(since, 0))/float64(r.Warm), 1)
 }
 
 // Back tells how long it takes until a part of so many sessions plays at the site
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -169,12 +169,10 @@
 	}
 }
 
-// Worth is what plays earns a second, less what crossing zones costs, and by class how
-// many play.
-func (f *Fleet) Worth() (w float64, count []int) {
+// Worth is what plays earns a second, less what crossing zones costs.
+func (f *Fleet) Worth() (w float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	count = make([]int, len(f.Settings.Classes))
 	for _, n := range f.nodes {
 		part := n.part()
 		for _, p := range n.sessions {
@@ -183,10 +181,9 @@
 			if p.home != n.zone {
 				w -= k.Worth * f.Settings.CrossZoneCost
 			}
-			count[p.class]++
 		}
 	}
-	return w, count
+	return w
 }
 
 // part is what sessions there get of their worth: under 98% of their rate they lose 7
--- a/internal/standin/loss.go
+++ b/internal/standin/loss.go
@@ -106,7 +106,7 @@
 		var sums [4]total
 		for ctx.Err() == nil {
 			time.Sleep(100 * time.Millisecond)
-			w, _ := fleet.Worth()
+			w := fleet.Worth()
 			switch at := time.Since(c.start); {
 			case at > lossAt-30*time.Second && at < lossAt:
 				sums[0].add(w)
