Begin no attempt for a client that has gone

Cause: an attempt asked only whether its session was answered. A player within its grace (client == nil in broker.handOff) got first and further attempts for as long as its grace lasted, and what waited in a node's actor for a slow dial or for the list (node.send) went out for it; a close or a release that stood in a mailbox behind a node's failure, or behind the set-up in the node's queue, came too late for the attempt.

Change: broker.Client has Gone, which fronts answer from the connection itself (its reader has seen the end, or a release of that id), ahead of all mailboxes. The broker asks before an attempt begins: what may not begin waits in session.paused for its player to come back, or ends as never sent. The node's actor asks again just before the first byte. Both fronts alike.

--- a/internal/broker/api.go
+++ b/internal/broker/api.go
@@ -72,9 +72,15 @@
 	Description []byte
 }
 
-// Client carries replies to a viewer. Deliver never waits; it returns false if
-// the reply can't reach the viewer any more.
-type Client interface{ Deliver(Reply) bool }
+// Client carries replies to a viewer. Its methods never wait and may be called by any
+// goroutine.
+type Client interface {
+	// Deliver returns false if the reply can't reach the viewer any more.
+	Deliver(Reply) bool
+	// Gone tells whether the client has closed or has cancelled its request of that id.
+	// It knows of both before the broker does, whose mailbox they take their turn in.
+	Gone(control.SessionID) bool
+}
 
 // Attempt is one set-up at one media node.
 type Attempt struct {
@@ -85,6 +91,7 @@
 	Rung        int
 	Deadline    time.Time
 	Description []byte
+	Client      Client // nothing is begun for one that has gone
 }
 
 // Nodes are the media nodes. No call waits; what comes of it is told to the
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -16,6 +16,7 @@
 	told []string
 	none bool // no node takes a set-up
 	deaf bool // no reply reaches it
+	left bool // its client has gone, and the broker is not told yet
 }
 
 func (f *fake) note(format string, args ...any) {
@@ -41,6 +42,8 @@
 	return !f.deaf
 }
 
+func (f *fake) Gone(control.SessionID) bool { return f.left }
+
 func (f *fake) take() string {
 	defer func() { f.told = nil }()
 	return strings.Join(f.told, ", ")
@@ -414,3 +417,4 @@
 func (silent) SetRung(control.Server, control.SessionID, int)      {}
 func (silent) Probe(control.Server)                                {}
 func (silent) Deliver(Reply) bool                                  { return true }
+func (silent) Gone(control.SessionID) bool                         { return false }
--- a/internal/broker/day_test.go
+++ b/internal/broker/day_test.go
@@ -211,6 +211,8 @@
 		Left: 3*time.Second - time.Since(v.first), Came: time.Now(), Client: v})
 }
 
+func (v *viewer) Gone(control.SessionID) bool { return false }
+
 func (v *viewer) Deliver(r broker.Reply) bool {
 	switch {
 	case r.Kind == broker.Served && !v.served:
--- /dev/null
+++ b/internal/broker/gone_test.go
@@ -0,0 +1,57 @@
+package broker
+
+import (
+	"testing"
+	"time"
+
+	"millethinge/control"
+)
+
+// Nothing begins for a client that has gone: neither a first attempt nor a further one,
+// also where the broker is told of its loss only later. One that is begun goes on, and a
+// player who comes back within its grace gets what had waited for it.
+func TestNothingBeginsForWhoHasGone(t *testing.T) {
+	const grace = time.Minute
+	leave := func(b *Broker, f *fake) { f.left = true }
+	lose := func(b *Broker, f *fake) { b.handle(lost{f}) }
+	end := func(b *Broker, f *fake) { b.handle(ViewerEnd{ID: 1, Cause: CauseEnded}) }
+	full := func(b *Broker, f *fake) { b.tells(1, Ended, control.Full) }
+	starts := func(b *Broker, f *fake) { b.tells(1, Started, 0) }
+	ask := func(grace time.Duration) func(*Broker, *fake) {
+		return func(b *Broker, f *fake) { b.ask(f, 1, clip, -1, grace) }
+	}
+	back := func(b *Broker, f *fake) { f.left = false; b.ask(f, 1, clip, -1, grace) }
+	late := func(b *Broker, f *fake) { b.overdue(1) }
+	gone := func(b *Broker, f *fake) { b.abandon(b.sessions[1]) } // its grace is over
+	for name, e := range map[string]struct {
+		steps []func(*Broker, *fake)
+		want  string
+		kept  bool // something of it is kept: its player may come back
+	}{
+		"left before its set-up is handled":     {[]func(*Broker, *fake){leave, ask(0), lose}, "", false},
+		"left, then its attempt fails":          {[]func(*Broker, *fake){ask(0), leave, full, lose}, "setup 1", false},
+		"cancelled, then its attempt fails":     {[]func(*Broker, *fake){ask(0), leave, full, end}, "setup 1", false},
+		"lost while an attempt is out":          {[]func(*Broker, *fake){ask(0), lose, full}, "setup 1, giveup 1", false},
+		"a player's attempt goes on":            {[]func(*Broker, *fake){ask(grace), lose, starts, back}, "setup 1, served 1", true},
+		"a player's further one waits":          {[]func(*Broker, *fake){ask(grace), lose, full}, "setup 1", true},
+		"and begins once the player is back":    {[]func(*Broker, *fake){ask(grace), lose, full, back, starts}, "setup 1, setup 1, served 1", true},
+		"also if the player had only just left": {[]func(*Broker, *fake){ask(grace), leave, full, lose, back}, "setup 1, setup 1", true},
+		"a player's first one waits":            {[]func(*Broker, *fake){leave, ask(grace), lose, back}, "setup 1", true},
+		"it fails when its time is up":          {[]func(*Broker, *fake){ask(grace), lose, full, late}, "setup 1", false},
+		"it is forgotten after its grace":       {[]func(*Broker, *fake){ask(grace), lose, full, gone}, "setup 1", false},
+	} {
+		b, f := bed(t)
+		for _, step := range e.steps {
+			step(b, f)
+		}
+		for _, m := range b.inbox.Take(nil) { // what it told itself
+			b.handle(m)
+		}
+		if got := f.take(); got != e.want {
+			t.Errorf("%s: %q, want %q", name, got, e.want)
+		}
+		if kept := len(b.sessions) > 0; kept != e.kept {
+			t.Errorf("%s: kept %v", name, kept)
+		}
+	}
+}
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -23,7 +23,8 @@
 	attempt  int // number of the last attempt
 	server   control.Server
 	rung     int
-	out      bool // an attempt is out
+	out      bool            // an attempt is out
+	paused   *control.Action // the attempt that is out has not begun: its client has gone
 	playing  bool
 	mayRun   bool // an earlier attempt may have run
 	billed   bool
@@ -112,8 +113,12 @@
 			s.client.Deliver(Reply{Kind: GivenUp, ID: s.ID})
 		}
 		s.client = r.Client
-		if s.answered {
+		switch a := s.paused; {
+		case s.answered:
 			s.client.Deliver(s.reply)
+		case a != nil:
+			s.paused = nil
+			b.send(b.clock.now(), s, *a)
 		}
 	}
 }
@@ -171,13 +176,23 @@
 	if s.client != nil {
 		s.client.Deliver(Reply{Kind: GivenUp, ID: s.ID})
 	}
-	if s.out {
-		b.nodes.GiveUp(s.server, s.ID, s.attempt, false)
-	}
+	b.giveUp(s, false)
 	b.tell(control.Event{Kind: control.EvAborted, Session: s.ID})
 	b.forget(s)
 }
 
+// giveUp ends the attempt that is out, if one is.
+func (b *Broker) giveUp(s *session, timedOut bool) {
+	switch {
+	case !s.out:
+	case s.paused != nil:
+		s.paused = nil
+		b.moot(s, s.server)
+	default:
+		b.nodes.GiveUp(s.server, s.ID, s.attempt, timedOut)
+	}
+}
+
 // overdue answers what nothing else has answered: the last guard before a
 // viewer's time is up, whatever a node or the module does.
 func (b *Broker) overdue(id control.SessionID) {
@@ -192,9 +207,7 @@
 // fail answers a session that waits no longer for what is out.
 func (b *Broker) fail(s *session) {
 	b.answer(s, Reply{Kind: Failed, ID: s.ID, Cause: CauseFailed})
-	if s.out {
-		b.nodes.GiveUp(s.server, s.ID, s.attempt, true)
-	}
+	b.giveUp(s, true)
 	b.tell(control.Event{Kind: control.EvAborted, Session: s.ID})
 	b.forget(s)
 }
@@ -215,16 +228,27 @@
 		b.moot(s, a.Server)
 		return
 	}
+	s.server, s.out = a.Server, true
+	if s.client == nil || s.client.Gone(s.ID) {
+		// Guard: nothing begins for a client that has gone. What it had begun goes on, and
+		// this waits for its player, who may come back; else its loss is on its way here.
+		s.paused = &a
+		return
+	}
+	b.send(now, s, a)
+}
+
+// send has the attempt that is out begin.
+func (b *Broker) send(now time.Time, s *session, a control.Action) {
 	end := s.deadline.Add(-answerMargin)
 	if a.PatienceS > 0 {
 		if t := now.Add(seconds(a.PatienceS)); t.Before(end) {
 			end = t
 		}
 	}
-	s.server, s.out = a.Server, true
 	ok := b.nodes.SetUp(a.Server, Attempt{
 		ID: s.ID, Number: s.attempt, Class: s.Class, Key: s.Key, Rung: s.rung,
-		Deadline: end, Description: s.Description,
+		Deadline: end, Description: s.Description, Client: s.client,
 	})
 	if !ok {
 		b.moot(s, a.Server)
--- /dev/null
+++ b/internal/front/gone_test.go
@@ -0,0 +1,96 @@
+// Package front_test holds what all fronts have in common against each of them.
+package front_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"millethinge/internal/broker"
+	"millethinge/internal/front/jsonl"
+	"millethinge/internal/front/message"
+	"millethinge/internal/front/peer"
+	"millethinge/internal/front/websocket"
+)
+
+// patience bounds what a test waits for; nothing passes or fails by less.
+const patience = 20 * time.Second
+
+// core is a broker that takes set-ups and never gets round to anything.
+type core struct{ taken chan broker.Request }
+
+func (c core) Submit(r broker.Request) bool { c.taken <- r; return true }
+func (c core) End(broker.ViewerEnd) bool    { return true }
+func (c core) Lost(broker.Client)           {}
+
+const (
+	setUp   = `{"type":"setup","id":"0000000000000001","fields":{"class":"feed","left":"900","key":"1","extras":"home:0;copies:1;top:0"},"sdp":""}`
+	release = `{"type":"release","id":"000000000000000%d","fields":{},"cause":16}`
+	opening = "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n" +
+		"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n"
+)
+
+// frame makes a client's frame. Its mask is of zeros, which changes nothing.
+func frame(op byte, text string) string {
+	return string([]byte{0x80 | op, 0x80 | 126, byte(len(text) >> 8), byte(len(text)), 0, 0, 0, 0}) + text
+}
+
+// That a client has gone can be seen at once, by any goroutine, however long the broker's
+// mailbox is.
+func TestGoneIsSeenAtOnce(t *testing.T) {
+	leave := map[string]func(c *net.TCPConn, say func(string)){
+		"close":      func(c *net.TCPConn, _ func(string)) { c.Close() },
+		"reset":      func(c *net.TCPConn, _ func(string)) { c.SetLinger(0); c.Close() },
+		"half close": func(c *net.TCPConn, _ func(string)) { c.CloseWrite() },
+		"release":    func(_ *net.TCPConn, say func(string)) { say(fmt.Sprintf(release, 1)) },
+	}
+	for front, lines := range map[string]bool{"lines": true, "frames": false} {
+		taken := core{make(chan broker.Request, 1)}
+		catalog := message.Catalog{Classes: []string{"feed"}, Cells: 1, MostLeft: time.Second}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		serve := (&websocket.Front{Core: taken, Catalog: catalog, Path: "/", Limits: peer.Limits{Most: 9}, Log: zap.NewNop()}).Serve
+		if lines {
+			serve = (&jsonl.Front{Core: taken, Catalog: catalog, Limits: peer.Limits{Most: 9}, Log: zap.NewNop()}).Serve
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- serve(ctx, l) }()
+		for how, leave := range leave {
+			nc, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			say := func(m string) { io.WriteString(nc, m+"\n") }
+			if !lines {
+				io.WriteString(nc, opening)
+				say = func(m string) { io.WriteString(nc, frame(1, m)) }
+			}
+			say(setUp)
+			r := <-taken.taken
+			say(fmt.Sprintf(release, 2)) // of another one
+			if r.Client.Gone(1) {
+				t.Errorf("%s: gone before it left by %s", front, how)
+			}
+			leave(nc.(*net.TCPConn), say)
+			for end := time.Now().Add(patience); !r.Client.Gone(1); time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Errorf("%s: not gone after a %s", front, how)
+					break
+				}
+			}
+			nc.Close()
+		}
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/internal/front/jsonl/ends.go
+++ b/internal/front/jsonl/ends.go
@@ -118,6 +118,9 @@
 // From tells where the viewer is.
 func (v viewer) From() string { return v.host }
 
+// Gone is part of broker.Client: nothing is begun for it anyway.
+func (v viewer) Gone(control.SessionID) bool { return false }
+
 func (v viewer) Deliver(r broker.Reply) bool {
 	if r.Kind == broker.Over || r.Kind == broker.Moved {
 		v.front.sendEnd(end{reply: r, host: v.host, until: time.Now().Add(keepEnd)})
--- a/internal/front/jsonl/jsonl.go
+++ b/internal/front/jsonl/jsonl.go
@@ -103,6 +103,9 @@
 	return true
 }
 
+// Gone is part of broker.Client.
+func (c *conn) Gone(id control.SessionID) bool { return c.Conn.Gone(uint64(id)) }
+
 // know marks c as a connection of viewers who have had a session.
 func (c *conn) know() {
 	if c.Known() {
@@ -156,7 +159,11 @@
 		return c.setUp(m)
 	case "release":
 		id, err := message.ParseID(m.ID)
-		return err == nil && c.front.Core.End(broker.ViewerEnd{ID: id, Cause: m.Cause})
+		if err != nil {
+			return false
+		}
+		c.Answered(uint64(id)) // first: an attempt that is under way in the broker is not begun
+		return c.front.Core.End(broker.ViewerEnd{ID: id, Cause: m.Cause})
 	case "released":
 		if id, err := message.ParseID(m.ID); err == nil {
 			c.heard(id)
--- a/internal/front/peer/peer.go
+++ b/internal/front/peer/peer.go
@@ -66,6 +66,7 @@
 	came  time.Time
 	begun atomic.Int64 // when the message under way began, after came; 0: none is
 	whole atomic.Int64 // when the last whole message had come, after came
+	left  atomic.Bool  // its client has closed it, or it broke
 	told  atomic.Bool  // something was put
 	known atomic.Bool  // a session of its stands or stood
 
@@ -119,9 +120,12 @@
 	c.begun.Store(now)
 }
 
-// Read notes when a message begins.
+// Read notes when a message begins, and the end of all.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if err != nil {
+		c.left.Store(true)
+	}
 	if n > 0 {
 		c.begun.CompareAndSwap(0, int64(time.Since(c.came))+1)
 	}
@@ -167,20 +171,35 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.open) >= c.most {
+	if _, same := c.open[id]; !same && len(c.open) >= c.most {
 		return false
 	}
 	c.open[id] = struct{}{}
 	return true
 }
 
-// Answered ends what Opened began.
+// Answered ends what Opened began: the set-up is owed no answer any more, whether it has
+// had it or its client has cancelled it.
 func (c *Conn) Answered(id uint64) {
 	c.mu.Lock()
 	delete(c.open, id)
 	c.mu.Unlock()
 }
 
+// Gone tells whether the client has closed the connection, or waits no more for a set-up
+// of that id.
+func (c *Conn) Gone(id uint64) bool {
+	select {
+	case <-c.gone:
+		return true
+	default:
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, open := c.open[id]
+	return c.left.Load() || !open
+}
+
 // owes tells whether a set-up is open.
 func (c *Conn) owes() bool {
 	c.mu.Lock()
--- a/internal/front/websocket/websocket.go
+++ b/internal/front/websocket/websocket.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"millethinge/control"
 	"millethinge/internal/broker"
 	"millethinge/internal/front/message"
 	"millethinge/internal/front/peer"
@@ -89,6 +90,9 @@
 	return c.Put(appendFrame(nil, opText, message.AppendReply(nil, r)))
 }
 
+// Gone is part of broker.Client.
+func (c *conn) Gone(id control.SessionID) bool { return c.Conn.Gone(uint64(id)) }
+
 // open does the opening handshake.
 func (c *conn) open() bool {
 	if err := c.SetReadDeadline(time.Now().Add(openTime)); err != nil {
@@ -207,6 +211,7 @@
 		return c.setUp(&m, came)
 	case "release":
 		id, err := message.ParseID(m.ID)
+		c.Answered(uint64(id)) // first: an attempt that is under way in the broker is not begun
 		if err != nil || !c.front.Core.End(broker.ViewerEnd{ID: id, Cause: m.Cause}) {
 			return closeError(closeProtocol)
 		}
--- a/internal/media/media_test.go
+++ b/internal/media/media_test.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -39,9 +40,15 @@
 }
 
 func try(id control.SessionID) setUp {
-	return setUp{broker.Attempt{ID: id, Number: 1, Key: "1", Deadline: time.Now().Add(time.Hour)}}
+	return setUp{broker.Attempt{ID: id, Number: 1, Key: "1", Deadline: time.Now().Add(time.Hour), Client: new(client)}}
 }
 
+// client is a viewer of whom only matters whether it has gone.
+type client struct{ gone atomic.Bool }
+
+func (*client) Deliver(broker.Reply) bool     { return true }
+func (c *client) Gone(control.SessionID) bool { return c.gone.Load() }
+
 func status(t *testing.T, reports *[]broker.Report, want ...control.Status) {
 	t.Helper()
 	var got []control.Status
@@ -66,6 +73,46 @@
 	status(t, reports, control.Moot)
 }
 
+// Nor does anything go out whose client has gone by then, however it waited: not a byte
+// is written, and what comes behind it is.
+func TestNothingIsSentForWhoHasGone(t *testing.T) {
+	for name, wait := range map[string]func(n *node, c *conn, queued setUp, leave func()){
+		"for a slow dial": func(n *node, c *conn, queued setUp, leave func()) {
+			n.dialling = true
+			n.handle(queued)
+			leave()
+			n.handle(dialled{conn: c})
+		},
+		"for the list, after a stand": func(n *node, c *conn, queued setUp, leave func()) {
+			n.conns = []*conn{c}
+			n.pool.watch.Start(time.Now().Add(-time.Minute))
+			n.handle(queued)
+			leave()
+			n.pool.watch.Start(time.Now())
+			n.handle(goOn{})
+		},
+		"in the mailbox": func(n *node, c *conn, queued setUp, leave func()) {
+			n.conns = []*conn{c}
+			leave()
+			n.handle(queued)
+		},
+	} {
+		n, c, far, reports := bed(t)
+		queued, lines := try(1), make(chan string, 9)
+		go func() {
+			b := make([]byte, 4096)
+			k, _ := far.Read(b)
+			lines <- string(b[:k])
+		}()
+		wait(n, c, queued, func() { queued.Client.(*client).gone.Store(true) })
+		n.handle(try(2))
+		if got := <-lines; !strings.Contains(got, "Session: 0000000000000002") {
+			t.Errorf("waiting %s: wrote %q", name, got)
+		}
+		status(t, reports, control.Moot)
+	}
+}
+
 // Nothing is proven once a byte of SETUP has left; before, all is.
 func TestBrokenConnection(t *testing.T) {
 	n, c, far, reports := bed(t)
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -626,7 +626,8 @@
 		// Guard: the list binds up to the first byte. Nothing that was queued or
 		// waited for a connection goes to a node that drains or is gone.
 		now := time.Now()
-		if n.listed() != control.Ready || now.After(a.Deadline) {
+		// Nor does anything begin for a client that has gone meanwhile.
+		if n.listed() != control.Ready || now.After(a.Deadline) || a.Client.Gone(a.ID) {
 			n.end(a, control.Moot)
 			return
 		}
--- a/internal/standin/loss.go
+++ b/internal/standin/loss.go
@@ -242,6 +242,9 @@
 		Left: 3 * time.Second, Came: time.Now(), Client: v})
 }
 
+// Gone is part of broker.Client: its viewers wait for their answers.
+func (v *lossViewer) Gone(control.SessionID) bool { return false }
+
 // Deliver is part of broker.Client. Most come again after a refusal or a break.
 func (v *lossViewer) Deliver(r broker.Reply) bool {
 	c := v.lossCrowd
