--- a/internal/front/peer/peer_test.go
+++ b/internal/front/peer/peer_test.go
@@ -190,6 +190,21 @@
 	return c, far
 }
 
+// A set-up that comes again under the id of an open one needs no second place: refused, it
+// would end the first one's too, and look as if its client had gone.
+func TestSameIDNeedsNoPlace(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	defer near.Close()
+	c := newConn(near, 1, nil, zap.NewNop())
+	if !c.Opened(1) || !c.Opened(1) || c.Opened(2) || c.Gone(1) || !c.Gone(2) {
+		t.Error("the same id takes a second place, or another one none")
+	}
+	if c.Answered(1); !c.Gone(1) || !c.Opened(2) {
+		t.Error("an answer frees no place")
+	}
+}
+
 // A client that asks and never listens is no longer read from, and loses its
 // connection once the writer's time is up: not sooner, not later.
 func TestNeverListens(t *testing.T) {
