Serve with few descriptors; name each setting that can't be acted on by its key

Found by reading and by tests of settings of other customers' shapes: - With 96 to 108 descriptors the program started and held none for media nodes: Config.NodeConns took a fixed 72 and came out under 1, so every attempt was moot and every set-up refused. With 64 it did not start. What the program keeps for itself is now an eighth at most; from 192 on nothing changes, and 64 are enough. - Settings that the module refuses (goalTimeS, ratesKb, ladderWorth, places, ...) passed 'millethinge check' and ended the program after it listened, by the names of the module's fields; a short ladderWorth panicked in config.planned. Parse names them all by their keys. - Two classes of one name, or a name that no header carries, are faults: a set-up could get the other class's protection, or write lines of its own to media nodes. - Times beyond 292 years ('never') overflowed: idle connections were never fresh, the drain was 0 s and each set-up's left out of range. They count as 30 days. - GOMAXPROCS follows limits.cores up to the machine's processors only. - maxRetryAfterS was read and never used.

--- a/cmd/millethinge/command_test.go
+++ b/cmd/millethinge/command_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"testing"
 )
@@ -109,6 +110,16 @@
 	}
 }
 
+// A part of a core still runs one thread, and no number of cores costs memory for more
+// than the machine has.
+func TestProcs(t *testing.T) {
+	for cores, want := range map[float64]int{0.05: 1, 1: 1, 1.4: 1, 1e300: runtime.NumCPU()} {
+		if got := procs(cores); got != want {
+			t.Errorf("%v cores: %d threads, want %d", cores, got, want)
+		}
+	}
+}
+
 // A level that is asked for is the least one logged.
 func TestLogger(t *testing.T) {
 	for level, enabled := range map[string]bool{"": true, "info": true, "warn": false} {
--- a/cmd/millethinge/main.go
+++ b/cmd/millethinge/main.go
@@ -48,7 +48,7 @@
 		fmt.Fprintln(a.err, "millethinge:", remedy.Text(err))
 		return statusUsage
 	}
-	runtime.GOMAXPROCS(max(1, int(math.Round(cfg.Cores))))
+	runtime.GOMAXPROCS(procs(cfg.Cores))
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
 	log, err := l.logger()
 	if err != nil {
@@ -70,6 +70,12 @@
 	return statusOK
 }
 
+// procs is how many threads may run Go code at once. Guard: each costs memory, so what is
+// allowed beyond the machine's processors buys nothing.
+func procs(cores float64) int {
+	return int(min(max(math.Round(cores), 1), float64(runtime.NumCPU())))
+}
+
 // logging is how the log is written. The zero value is the platform's.
 type logging struct{ level, format string }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode"
 
 	"millethinge/control"
 	"millethinge/internal/broker"
@@ -45,11 +46,15 @@
 	drainTake          = 700 * time.Millisecond
 	drainStay          = 600 * time.Millisecond // beyond the longest deadline
 	drainMostGiveUp    = 3 * time.Second
-	leastSockets       = 32
+	leastSockets       = 64
 	operatorFile       = "deploy/operator.conf" // read if it is there
 	platformFile       = "the platform's configuration"
 	viewersPart        = 3 // viewers may hold one part in so many of the descriptors
 	descriptorsForSelf = 24
+	selfPart           = 8 // of the descriptors at most, where they are few
+	// mostTime is as long as any time is taken to be; a longer one could not be
+	// reckoned with.
+	mostTime = 30 * 24 * time.Hour
 )
 
 // Config is all that the program is told.
@@ -80,10 +85,15 @@
 }
 
 // ViewerConns is how many viewers' connections are accepted at once.
-func (c *Config) ViewerConns() int { return c.Sockets/viewersPart + descriptorsForSelf }
+func (c *Config) ViewerConns() int { return c.Sockets/viewersPart + c.self() }
 
 // NodeConns is how many connections to media nodes may be open at once.
-func (c *Config) NodeConns() int { return c.Sockets - c.ViewerConns() - 2*descriptorsForSelf }
+func (c *Config) NodeConns() int { return c.Sockets - c.ViewerConns() - 2*c.self() }
+
+// self is what the program needs beside, once for viewers' connections that are about to
+// close and twice for all else. Guard: as a fixed number it left no connection to a node
+// where descriptors are few, and nothing was ever served.
+func (c *Config) self() int { return min(descriptorsForSelf, c.Sockets/selfPart) }
 
 // Load reads the configuration of the environment that getenv tells.
 func Load(getenv func(string) string) (Config, error) {
@@ -214,8 +224,8 @@
 	if c.Sockets == 0 {
 		c.Sockets = defaultSockets
 	}
-	if c.Sockets < leastSockets*descriptorsForSelf/8 {
-		fault("limits.sockets", fmt.Errorf("%d is too few", c.Sockets))
+	if c.Sockets < leastSockets {
+		fault("limits.sockets", fmt.Errorf("%d is too few; %d are needed at least", c.Sockets, leastSockets))
 	}
 	var err error
 	if raw.Seed != "" {
@@ -240,13 +250,18 @@
 	p, err := parseParams(raw.Settings)
 	if err != nil {
 		fault("settings", err)
-	} else if c.Settings, err = p.settings(); err != nil {
+		return Config{}, errors.Join(faults...)
+	}
+	if c.Settings, err = p.settings(); err != nil {
+		fault("settings", err)
+	}
+	if err := p.check(); err != nil {
 		fault("settings", err)
 	}
 	c.Names = directory.Names{Zones: p.Zones, Kinds: p.Kinds}
 	for i, l := range p.Lanes {
-		if l.Name == "" {
-			fault(fmt.Sprintf("settings.lanes[%d].name", i), fmt.Errorf("missing"))
+		if err := className(l.Name, c.Classes); err != nil {
+			fault(fmt.Sprintf("settings.lanes[%d].name", i), err)
 		}
 		c.Classes = append(c.Classes, l.Name)
 		giveUp := orDefault(l.GiveUp, defaultGiveUp)
@@ -303,8 +318,24 @@
 	return b.String()
 }
 
+// className tells why a class can't have a name, beside those before it. Viewers name
+// classes by it, and media nodes are told it in a header's line.
+func className(name string, used []string) error {
+	switch {
+	case name == "":
+		return errors.New("missing")
+	case strings.TrimSpace(name) != name || strings.ContainsFunc(name, unicode.IsControl):
+		return fmt.Errorf("%q has what no header can carry", name)
+	case slices.Contains(used, name):
+		return fmt.Errorf("%q is used twice", name)
+	}
+	return nil
+}
+
 // Seconds is a number of seconds as a duration.
-func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+func Seconds(s float64) time.Duration {
+	return time.Duration(min(s, mostTime.Seconds()) * float64(time.Second))
+}
 
 func orDefault(s float64, d time.Duration) time.Duration {
 	if s <= 0 {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -54,6 +54,51 @@
 	}
 }
 
+// What the module can't act on is a fault of the file, by the platform's own key, and all
+// are told at once. Guard: some came only when the program started, one as a panic.
+func TestSettingsNameTheKey(t *testing.T) {
+	text := example(t)
+	for _, e := range [][3]string{
+		{`"goalTimeS": 1.5, "giveUpS": 3, "worth": 2`, `"goalTimeS": 0, "worth": -2`, "lanes[0].goalTimeS = 0"},
+		{`"name": "feed"`, `"name": "clip"`, `lanes[1].name: "clip" is used twice`},
+		{`"name": "clip"`, `"name": "clip\r\nX: y"`, "lanes[0].name"}, {`"name": "clip"`, `"name": "clip "`, "lanes[0].name"},
+		{`[0.26, 0.53, 0.77, 1]`, `[0.26, 0.53]`, "ladderWorth has 2 entries for 4 rungs"}, {`[0.26, 0.53,`, `[0.26, -1,`, "ladderWorth[1]"},
+		{`[172, 364, 767, 1617]`, `[172, 364, 364, 1617]`, "ratesKb[2] = 364 does not rise"}, {`[172, 364, 767, 1617]`, `[]`, "ratesKb has no rung"},
+		{`"classFloor": [1, 0]`, `"classFloor": [1, 4]`, "classFloor[1] = 4 is none of 4 rungs"}, {`"scaleByClass": [1, 1]`, `"scaleByClass": [0, 1]`, "scaleByClass[0]"},
+		{`"licenceCap": [0, 0]`, `"licenceCap": [0, -1]`, "licenceCap[1]"}, {`"balancers": 1`, `"balancers": 0`, "balancers = 0; the least is 1"},
+		{`"places": 2`, `"places": 0`, "places"}, {`"attemptsCap": 4`, `"attemptsCap": 0`, "attemptsCap"}, {`"switchS": 0.5`, `"switchS": -1`, "switchS"},
+		{`"guard": 1.2`, `"guard": 1e999`, "guard"}, {`"balancers": 1`, `"balancers": "two"`, "balancers"},
+	} {
+		_, err := Parse([]byte(strings.Replace(text, e[0], e[1], 1)))
+		if err == nil || !strings.Contains(err.Error(), e[2]) || !strings.Contains(text, e[0]) {
+			t.Errorf("%s: %v", e[2], err)
+		}
+	}
+	both := strings.NewReplacer(`"at_most_once"`, `"odd"`, `"places": 2`, `"places": -2`).Replace(text)
+	if _, err := Parse([]byte(both)); err == nil || !strings.Contains(err.Error(), `lanes[0].effect "odd"`) || !strings.Contains(err.Error(), "places = -2") {
+		t.Error(err)
+	}
+}
+
+// Whatever the limits, viewers and nodes have connections, and the program some
+// descriptors of its own.
+func TestDescriptors(t *testing.T) {
+	for sockets := leastSockets; sockets < 3000; sockets++ {
+		c := Config{Sockets: sockets}
+		if v, n := c.ViewerConns(), c.NodeConns(); v < sockets/3 || n < sockets/4 || sockets-v-n < 2*min(sockets/8, descriptorsForSelf) {
+			t.Fatalf("of %d descriptors viewers have %d and nodes %d", sockets, v, n)
+		}
+	}
+}
+
+// A time that stands for "never" is only very long.
+func TestLongTimes(t *testing.T) {
+	c, err := Parse([]byte(strings.NewReplacer(`"connIdleS": 15`, `"connIdleS": 1e12`, `"giveUpS": 3`, `"giveUpS": 1e12`).Replace(example(t))))
+	if err != nil || c.ConnIdle*9 <= c.ConnIdle || c.MostLeft <= c.ConnIdle || c.Drain.Stay != 3600*time.Millisecond {
+		t.Errorf("idle %v, left %v, drain %v, %v", c.ConnIdle, c.MostLeft, c.Drain, err)
+	}
+}
+
 var deployment = Deployment{Classes: []route.Class{{Name: "clip", Paid: true, Floor: 1}, {Name: "feed"}}}
 
 func operatorExample(t *testing.T) string {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 
 	"millethinge/control"
@@ -51,7 +52,6 @@
 	Limits struct {
 		AttemptsCap int     `json:"attemptsCap"`
 		Probes      bool    `json:"probes"`
-		MaxRetryS   float64 `json:"maxRetryAfterS"`
 		ConnIdleS   float64 `json:"connIdleS"`
 		ConnectS    float64 `json:"connectTimeoutS"`
 		PerConn     int     `json:"streamsPerConn"`
@@ -88,6 +88,58 @@
 	return p, nil
 }
 
+// check tells, by the platform's own keys, all else that the module can't act on. Guard:
+// the module's own errors come only when the program starts, after `millethinge check` has
+// found no fault, and name its fields.
+func (p *params) check() error {
+	f, r, c := &p.Family, &p.Rules, &p.Charges
+	var faults []error
+	wrong := func(bad bool, key, format string, args ...any) {
+		if bad {
+			faults = append(faults, fmt.Errorf("%s %s", key, fmt.Sprintf(format, args...)))
+		}
+	}
+	n := len(p.Lanes)
+	wrong(n == 0, "lanes", "names no class")
+	wrong(len(f.RatesKB) == 0, "ratesKb", "has no rung")
+	wrong(len(f.LadderWorth) < len(f.RatesKB), "ladderWorth", "has %d entries for %d rungs", len(f.LadderWorth), len(f.RatesKB))
+	for i, rate := range f.RatesKB {
+		wrong(rate <= 0 || i > 0 && rate <= f.RatesKB[i-1], fmt.Sprintf("ratesKb[%d]", i), "= %v does not rise", rate)
+	}
+	least := func(key string, v, least float64) { wrong(v < least, key, "= %v; the least is %v", v, least) }
+	for i, v := range f.LadderWorth {
+		least(fmt.Sprintf("ladderWorth[%d]", i), v, 0)
+	}
+	for i, l := range p.Lanes {
+		key := func(name string) string { return fmt.Sprintf("lanes[%d].%s", i, name) }
+		wrong(l.GoalTime <= 0, key("goalTimeS"), "= %v", l.GoalTime)
+		least(key("worth"), l.Worth, 0)
+	}
+	for i, v := range f.ClassFloor[:min(n, len(f.ClassFloor))] {
+		wrong(v < 0 || v >= max(len(f.RatesKB), 1), fmt.Sprintf("classFloor[%d]", i), "= %d is none of %d rungs", v, len(f.RatesKB))
+	}
+	for i, v := range f.Scale[:min(n, len(f.Scale))] {
+		wrong(v <= 0, fmt.Sprintf("scaleByClass[%d]", i), "= %v", v)
+	}
+	for i, v := range f.LicenceCap[:min(n, len(f.LicenceCap))] {
+		least(fmt.Sprintf("licenceCap[%d]", i), float64(v), 0)
+	}
+	for _, k := range []struct {
+		key      string
+		v, least float64
+	}{
+		{"balancers", float64(p.Balancers), 1}, {"places", float64(f.Places), 1}, {"attemptsCap", float64(p.Limits.AttemptsCap), 1},
+		{"groups", float64(f.Groups), 0}, {"kbPerWeight", f.KBPerWeight, 0}, {"fleetKb", f.FleetKB, 0}, {"rackLinkKb", f.RackLinkKB, 0},
+		{"guard", f.Guard, 0}, {"seeS", f.SeeS, 0}, {"switchS", f.SwitchS, 0},
+		{"crossZone", c.CrossZone, 0}, {"probe", c.Probe, 0}, {"handshake", c.Handshake, 0},
+		{"fallMultiple", r.FallMultiple, 0}, {"startCapacity", r.StartCap, 0}, {"warmAfterS", r.WarmAfterS, 0},
+		{"ratioSpanS", r.RatioSpanS, 0}, {"extraFloor", r.ExtraFloor, 0}, {"repeatRatio", r.RepeatRatio, 0},
+	} {
+		least(k.key, k.v, k.least)
+	}
+	return errors.Join(faults...)
+}
+
 func (p *params) settings() (control.Settings, error) {
 	f, r := &p.Family, &p.Rules
 	for _, table := range []struct {
