Write no probe where the settings allow none

Change: media.Config.NoProbes. The module and the watch hear that a probe never left; a connection on which a cancelled set-up left no word is taken for mute after the time that a test would have had. Nothing changes where probes are allowed.

TestNoProbes fails without it (an OPTIONS is written, a probe is under way).

--- a/internal/media/media_test.go
+++ b/internal/media/media_test.go
@@ -547,3 +547,39 @@
 		t.Errorf("%d probes wait, dialling %v", n.asked, n.dialling)
 	}
 }
+
+// Where the settings allow no probes none is written, whoever asks: the module hears that
+// it never left, and a connection that may be mute is taken for it after a test's time.
+func TestNoProbes(t *testing.T) {
+	n, _, _, reports := bed(t)
+	wrote := new(writes)
+	c := &conn{Conn: wrote, touched: time.Now(), used: true}
+	n.pool.cfg.NoProbes = true
+	n.conns = []*conn{c}
+	n.pool.nodes[n.server] = n
+	n.handle(stands{1})
+	n.dialling = true
+	n.handle(try(2))
+	n.handle(giveUp{2, 1, false}) // cancelled, without a word since it was written
+	for _, later := range []time.Duration{2 * suspectTime, silentTime + time.Second} {
+		n.look(time.Now().Add(later))
+		if mute := later > silentTime; c.dead != mute {
+			t.Errorf("after %v: taken for mute %v", later, c.dead)
+		}
+	}
+	n.pool.Probe(n.server)
+	if last := (*reports)[len(*reports)-1]; !n.box.Empty() || last.Kind != broker.Probed || last.Status != control.Moot {
+		t.Errorf("a probe is under way: %+v", last)
+	}
+	if got := string(wrote.b); strings.Contains(got, "OPTIONS") || strings.Count(got, "TEARDOWN") != 1 {
+		t.Errorf("wrote %q", got)
+	}
+}
+
+// writes keeps what is written on it.
+type writes struct {
+	stubConn
+	b []byte
+}
+
+func (w *writes) Write(b []byte) (int, error) { w.b = append(w.b, b...); return len(b), nil }
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -591,7 +591,11 @@
 			case c.open == 0 && !c.dead && !c.tested && c.suspect(now) && n.carriesEnds(c):
 				// Guard: a set-up on it was cancelled before any word came. Nothing waits
 				// on it that could time out, so nothing else tells.
-				c.tested = n.test(c, true, silentTime)
+				if !n.pool.cfg.NoProbes {
+					c.tested = n.test(c, true, silentTime)
+				} else if now.Sub(c.asked) > silentTime {
+					c.mute(now, n.pool.cfg.ConnIdle)
+				}
 			case spare > 0 && c.used == used && !c.dead && c.open == 0 && now.Sub(c.touched) > spareTime:
 				spare--
 				c.retire(n.pool.cfg.ConnIdle)
--- a/internal/media/pool.go
+++ b/internal/media/pool.go
@@ -32,6 +32,7 @@
 	ConnIdle       time.Duration // after which nodes close a connection
 	StreamsPerConn int           // set-ups open on one connection
 	MaxConns       int           // connections to all nodes
+	NoProbes       bool          // nodes may not be tested
 	Shared         func() bool   // while it says so another process has half of them; nil: none ever has
 	Tried          func()        // told of each SETUP that is written whole; nil: nobody
 	Report         func(broker.Report)
@@ -184,7 +185,7 @@
 }
 
 func (p *Pool) Probe(s control.Server) {
-	if !p.post(s, probe{}, true) {
+	if p.cfg.NoProbes || !p.post(s, probe{}, true) {
 		p.cfg.Report(broker.Report{Kind: broker.Probed, Server: s, Status: control.Moot})
 	}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -94,7 +94,8 @@
 		Classes: cfg.Classes, Fields: cfg.Settings.Fields,
 		ConnectTimeout: cfg.ConnectTimeout, ConnIdle: cfg.ConnIdle,
 		StreamsPerConn: cfg.StreamsPerConn, MaxConns: cfg.NodeConns(),
-		Shared: hand.Shared, Tried: counts.Tried,
+		NoProbes: !cfg.Settings.Probes,
+		Shared:   hand.Shared, Tried: counts.Tried,
 		Report: func(r broker.Report) { core.Report(r) }, Log: log,
 		Stood: func(d time.Duration) {
 			coordinator.Ask()
