Ask at once again for what a node said where a connection never comes up

What a node says on a connection that breaks it says once more on the next that opens, and the caller is owed it within 1 s. Lines at fault: dialFailed in internal/media/node.go put the next try off by retryTime (1 s) after a dial that timed out (250 ms): 1.25 s where one of fifty connections never comes up.

Change: up to three connections in a row that time out are each followed by the next at once; what fails in no time, or goes on failing, waits as before. One that comes up ends the wait.

Tests: TestLostEndWhileDialling asked that a dial that timed out be not tried again at once, which is the fault; it now asks so of one that was refused and of the fourth that timed out, and the contrary of the first three. Red without the change.

--- a/internal/media/ends_test.go
+++ b/internal/media/ends_test.go
@@ -161,14 +161,29 @@
 	if n.look(time.Now()); n.dialling {
 		t.Error("a connection a break")
 	}
-	// One that can't be opened is tried again, a while later.
+	// One that is refused is tried again, a while later. One that never came up is followed
+	// by the next at once, and no more often than may help in time.
 	n.handle(closed{n.conns[0], io.EOF})
 	n.standing[3] = &stand{conn: n.conns[0]}
 	n.handle(closed{n.conns[0], syscall.ECONNRESET})
-	n.handle(dialled{err: syscall.ETIMEDOUT})
+	n.handle(dialled{err: syscall.ECONNREFUSED})
 	if n.look(time.Now()); n.dialling {
 		t.Error("tried again at once")
 	}
+	if n.look(time.Now().Add(2 * retryTime)); !n.dialling {
+		t.Fatal("not tried again")
+	}
+	n.handle(dialled{conn: stub(), breaks: 0})
+	n.look(time.Now().Add(2 * retryTime))
+	for i := range quickTries {
+		if n.handle(dialled{err: syscall.ETIMEDOUT}); !n.dialling {
+			t.Fatalf("not tried again at once after %d that never came up", i+1)
+		}
+	}
+	n.handle(dialled{err: syscall.ETIMEDOUT})
+	if n.look(time.Now()); n.dialling {
+		t.Error("tried again at once for good")
+	}
 	if n.look(time.Now().Add(2 * retryTime)); !n.dialling {
 		t.Error("not tried again")
 	}
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -37,6 +37,7 @@
 	silentTime  = 2 * time.Second        // after which a node with sessions is looked at again
 	lostTime    = 3 * time.Second        // after which, with failed looks, it is lost
 	retryTime   = time.Second            // between looks at a lost node
+	quickTries  = 3                      // connections in a row that time out and are followed by the next at once
 	keepLost    = time.Minute            // how long its sessions' releases wait
 	keepRelease = 10 * time.Second       // how long a release waits for a connection
 	mostConns   = 12                     // to one node; more than open between two closes as idle
@@ -81,6 +82,7 @@
 	heardAt  time.Time // when the node last showed a sign of life
 	wordAt   time.Time // when it last said anything; zero: never
 	retryAt  time.Time // when a lost node is looked at again
+	tries    int       // connections that failed since the last that came up
 	buf      []byte
 }
 
@@ -301,7 +303,7 @@
 		n.dialFailed(m.err)
 		return
 	}
-	n.heardAt = time.Now()
+	n.heardAt, n.tries, n.retryAt = time.Now(), 0, time.Time{}
 	n.conns = append(n.conns, m.conn)
 	if n.covered < m.breaks {
 		n.covered, n.silent = m.breaks, m.breaks > n.worded
@@ -392,7 +394,13 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		n.mayMiss(nil)
 	}
-	if n.missing() {
+	// Guard: the caller is owed an end within a second of when the node said it, and what
+	// was said may have gone down with a connection. So one that never came up is followed
+	// by the next at once; what fails in no time, or goes on failing, is not.
+	var late net.Error
+	again := errors.As(err, &late) && late.Timeout() && n.tries < quickTries
+	n.tries++
+	if n.missing() && !again {
 		n.retryAt = time.Now().Add(retryTime)
 	}
 	why := fmt.Sprint("no connection: ", err)
@@ -409,6 +417,9 @@
 		n.cut(why, time.Now())
 		n.closeAll()
 	}
+	if again && n.missing() {
+		n.connect()
+	}
 }
 
 // lost ends what stood at a node whose process is gone.
