--- a/internal/front/jsonl/jsonl.go
+++ b/internal/front/jsonl/jsonl.go
@@ -31,7 +31,7 @@
 
 	mu     sync.Mutex
 	conns  []*conn
-	unsent []end // those that found no open connection
+	unsent []*end // those that found no open connection of a known viewer
 }
 
 // conn is one viewers' connection.
@@ -40,8 +40,8 @@
 	front *Front
 
 	mu   sync.Mutex
-	ends []end // sent on it and not said to be heard, the oldest first
-	left bool  // it is not read any more: no end goes on it
+	ends []*end // sent on it and not said to be heard, the oldest first
+	left bool   // it is not read any more: no end goes on it
 }
 
 // Serve accepts until ctx ends.
@@ -96,7 +96,7 @@
 	if r.Kind != broker.Over && r.Kind != broker.Moved {
 		return c.send(r)
 	}
-	e := end{reply: r, host: c.Host, until: time.Now().Add(keepEnd)}
+	e := &end{reply: r, host: c.Host, until: time.Now().Add(keepEnd)}
 	if !c.sendEnd(e) {
 		c.front.sendEnd(e)
 	}
--- a/internal/front/peer/peer.go
+++ b/internal/front/peer/peer.go
@@ -38,7 +38,7 @@
 	// wordTime is how long a connection may take to send a whole message, and how
 	// long one that is owed no answer may go without any word of ours.
 	wordTime  = 2 * time.Second
-	idleTime  = 30 * time.Second // without a message, and with no set-up open
+	idleTime  = 30 * time.Second // without a message, and with no set-up open and no session of its standing
 	watchTime = 100 * time.Millisecond
 )
 
@@ -214,7 +214,7 @@
 		return "clients are sent away"
 	case !c.told.Load() && !c.Known() && age > wordTime:
 		return "nothing to answer"
-	case age-whole > idleTime:
+	case age-whole > idleTime && c.standing.Load() <= 0:
 		return "idle"
 	}
 	return ""
--- a/internal/front/peer/peer_test.go
+++ b/internal/front/peer/peer_test.go
@@ -136,6 +136,8 @@
 		"waits for long":    {ever, func(c *Conn) { c.whole.Store(1); c.begun.Store(0); c.Opened(1) }, ""},
 		"is told":           {wordTime * 2, func(c *Conn) { c.Whole(false); c.Put(nil) }, ""},
 		"stays for good":    {ever, func(c *Conn) { c.whole.Store(1); c.begun.Store(0); c.Put(nil) }, "idle"},
+		"with a session":    {ever, func(c *Conn) { c.whole.Store(1); c.begun.Store(0); c.Put(nil); c.Stands() }, ""},
+		"which has ended":   {ever, func(c *Conn) { c.whole.Store(1); c.begun.Store(0); c.Put(nil); c.Stands(); c.Fell() }, "idle"},
 		"in use":            {ever, func(c *Conn) { c.Put(nil); c.Whole(false) }, ""},
 		"has its session":   {wordTime * 2, func(c *Conn) { c.Whole(false); c.Know() }, ""},
 	} {
