Have a full room keep the viewers' connections on which sessions stand

Among clients who had one, the one whose session stands could go before one that has none, and its end then has no connection of its own. Change: peer.before asks for that first. TestFullRoom, red without the change.

--- a/internal/front/peer/peer.go
+++ b/internal/front/peer/peer.go
@@ -389,10 +389,13 @@
 	return true
 }
 
-// before tells whether c is missed less than o: its client has had no session,
-// or it has been idle for longer. Guard: one that has just come is missed most
-// of these, since its first request is on its way.
+// before tells whether c is missed less than o: no session of its client's stands, or it
+// has had none, or it has been idle for longer. Guard: one that has just come is missed
+// most of these, since its first request is on its way.
 func (c *Conn) before(o *Conn) bool {
+	if h := c.standing.Load() > 0; h != (o.standing.Load() > 0) {
+		return !h
+	}
 	if k := c.Known(); k != o.Known() {
 		return !k
 	}
--- a/internal/front/peer/peer_test.go
+++ b/internal/front/peer/peer_test.go
@@ -151,16 +151,19 @@
 
 // A full room goes on taking connections: the one that is missed least goes.
 func TestFullRoom(t *testing.T) {
-	known, busy, asked, idle, fresh := at(9*time.Hour), at(9*time.Hour), at(8*time.Hour), at(7*time.Hour), at(0)
+	holds, known, busy, asked, idle, fresh := at(9*time.Hour), at(9*time.Hour), at(9*time.Hour), at(8*time.Hour), at(7*time.Hour), at(0)
+	holds.Know()
+	holds.Stands()
 	known.Know()
+	known.whole.Store(int64(time.Hour)) // idle for less long than holds
 	busy.Opened(1)
 	asked.whole.Store(int64(7 * time.Hour))
 	idle.whole.Store(int64(time.Hour))
-	r := &room{Limits: Limits{Most: 5}, all: map[*Conn]bool{known: true, busy: true, asked: true, idle: true, fresh: true}}
-	for i, gone := range []*Conn{idle, asked, fresh, known} {
+	r := &room{Limits: Limits{Most: 6}, all: map[*Conn]bool{holds: true, known: true, busy: true, asked: true, idle: true, fresh: true}}
+	for i, gone := range []*Conn{idle, asked, fresh, known, holds} {
 		c := at(0)
 		c.Opened(1)
-		if !r.enter(c) || r.all[gone] || len(r.all) != 5 {
+		if !r.enter(c) || r.all[gone] || len(r.all) != 6 {
 			t.Errorf("%d: the wrong one went", i)
 		}
 	}
