--- a/internal/front/peer/peer.go
+++ b/internal/front/peer/peer.go
@@ -38,7 +38,7 @@
 	// wordTime is how long a connection may take to send a whole message, and how
 	// long one that is owed no answer may go without any word of ours.
 	wordTime  = 2 * time.Second
-	idleTime  = 30 * time.Second // without a message, and with no set-up open
+	idleTime  = 30 * time.Second // without a message, and with no set-up open and no session of its standing
 	watchTime = 100 * time.Millisecond
 )
 
@@ -233,7 +233,7 @@
 		return "clients are sent away"
 	case !c.told.Load() && !c.Known() && age > wordTime:
 		return "nothing to answer"
-	case age-whole > idleTime:
+	case age-whole > idleTime && c.standing.Load() <= 0:
 		return "idle"
 	}
 	return ""
@@ -408,10 +408,13 @@
 	return true
 }
 
-// before tells whether c is missed less than o: its client has had no session,
-// or it has been idle for longer. Guard: one that has just come is missed most
-// of these, since its first request is on its way.
+// before tells whether c is missed less than o: no session of its client's stands, or it
+// has had none, or it has been idle for longer. Guard: one that has just come is missed
+// most of these, since its first request is on its way.
 func (c *Conn) before(o *Conn) bool {
+	if h := c.standing.Load() > 0; h != (o.standing.Load() > 0) {
+		return !h
+	}
 	if k := c.Known(); k != o.Known() {
 		return !k
 	}
