Tell each of the coordinator's events; keep an Ask until it is answered

Cause: the answer's own number counted as told, so an event that came up while the answer was written was never asked for; of two events with one number, or out of order, one was passed over; an Ask was forgotten when its connection broke, or when SIGHUP moved the watch at that moment (held 2 s instead). Change: only numbers of events count, held against what was told before the answer. Whoever breaks in on a poll is answered at once, until an answer came or the coordinator was silent. One that answers empty without waiting is asked after a pause. TestRunGoesOn wants wait_ms=0 after a move, where it wanted 2000: stricter, as a move no longer waits for news. Result: TestEachEventIsTold, TestRunGoesOn and TestNoNewsAtOnce fail without each change and pass with them. TestAnswerCutAnywhere rules out a cut answer.

--- a/internal/directory/coordinator.go
+++ b/internal/directory/coordinator.go
@@ -32,7 +32,6 @@
 // Updates is the coordinator's numbered events, as in its answers and in the
 // configuration.
 type Updates struct {
-	Index   uint64 `json:"index"`
 	Updates []struct {
 		Index     uint64     `json:"index"`
 		Endpoints *endpoints `json:"endpoints"`
@@ -122,6 +121,7 @@
 	moved chan string           // the address to follow from now on
 	again chan struct{}         // a poll is to be made at once
 	last  uint64                // number of the last event that was told
+	told  int                   // answers that were applied
 }
 
 // NewCoordinator returns a Coordinator that has told what is known at the start.
@@ -157,9 +157,15 @@
 func Apply(u Updates, names Names, sink Sink) { u.tell(0, names, sink) }
 
 // tell tells sink of the events after last, and returns the number of the last one.
+//
+// Guard: only numbers of events that came count. The answer's own may be ahead, where
+// an event came up while it was written: that event would never be asked for. What one
+// answer brings is held against what was told before it, so that none of two events
+// with one number, or out of order, is passed over.
 func (u *Updates) tell(last uint64, names Names, sink Sink) uint64 {
+	before := last
 	for _, e := range u.Updates {
-		if e.Index != 0 && e.Index <= last {
+		if e.Index != 0 && e.Index <= before {
 			continue
 		}
 		last = max(last, e.Index)
@@ -167,7 +173,7 @@
 			sink(e.Endpoints.change(names))
 		}
 	}
-	return max(last, u.Index)
+	return last
 }
 
 // Run polls at the address that Follow last named until ctx ends. A connection
@@ -194,13 +200,14 @@
 			defer close(done)
 			c.poll(poll, at, first)
 		}()
-		wait = pollWait
+		// Whoever breaks in on a poll is to be answered at once: at another address what is
+		// heard first tells that somebody is there, and an Ask that the move overtook counts.
+		wait = 0
 		select {
 		case <-ctx.Done():
 		case addr = <-c.moved:
 			c.Log.Info("following another coordinator", zap.String("address", addr))
 		case <-c.again:
-			wait = 0
 		}
 		cancel()
 		<-done
@@ -208,15 +215,19 @@
 	return nil
 }
 
-// poll asks at one address until ctx ends. The first time the coordinator may hold
-// the poll for as long as wait.
+// poll asks at one address until ctx ends. At first the coordinator may hold the poll
+// for as long as wait: what is asked at once is not forgotten over a connection that
+// breaks.
 func (c *Coordinator) poll(ctx context.Context, addr string, wait time.Duration) {
 	for ctx.Err() == nil {
-		before := c.last
-		if err := c.follow(ctx, addr, wait); err != nil && ctx.Err() == nil {
+		before, told := c.last, c.told
+		err := c.follow(ctx, addr, wait)
+		if err != nil && ctx.Err() == nil {
 			c.Log.Warn("coordinator", remedy.Fields(err)...)
 		}
-		wait = pollWait
+		if c.told > told || errors.As(err, new(*Silent)) { // it may be too slow to answer at once
+			wait = pollWait
+		}
 		if c.last > before {
 			continue
 		}
@@ -228,7 +239,7 @@
 }
 
 // follow polls on one connection until it is of no further use; the error is nil if
-// the coordinator said that it closes it.
+// the coordinator said that it closes it, or answers without news or waiting for any.
 //
 // net/http reads the answers and no more: its client would bring goroutines of its
 // own, and would repeat a poll on a broken connection within the deadline of the
@@ -263,13 +274,16 @@
 		if err != nil {
 			return err
 		}
+		before := c.last
 		c.apply(u)
+		c.told++
 		if c.Heard != nil {
 			c.Heard(asked)
 		}
-		wait = pollWait
-		if last {
+		// Guard: one that does not hold polls is not asked without a pause.
+		if last || c.last == before && time.Since(asked) < wait/2 {
 			return nil
 		}
+		wait = pollWait
 	}
 }
--- a/internal/directory/coordinator_test.go
+++ b/internal/directory/coordinator_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -181,6 +182,7 @@
 	polls := make(chan poll, 100)
 	held := make(chan struct{})
 	t.Cleanup(func() { close(held) })
+	// What breaks in on a poll is answered at once, also where the move overtakes it.
 	place := func(name string) string {
 		return scripted(t, func(conn, n int, target string) string {
 			polls <- poll{name, conn, target}
@@ -220,10 +222,113 @@
 	}
 	c.Ask()
 	expect("one", 3, "follow=1&wait_ms=0")
+	held <- struct{}{} // the one before, and
+	held <- struct{}{} // it break unanswered: what was asked at once still is
+	expect("one", 4, "follow=1&wait_ms=0")
+	c.Ask()
 	c.Follow(place("two"))
-	expect("two", 1, "follow=1&wait_ms=2000")
+	// Ask may be heard first, or anew. One who does not answer at once may just be slow.
+	first, held2s := poll{"two", 1, "/v2/stream?follow=1&wait_ms=0"}, false
+	for two := 0; !held2s; {
+		select {
+		case got := <-polls:
+			if got.place == "one" {
+				continue
+			}
+			if two++; two == 1 && got != first || two > 4 {
+				t.Fatal(got)
+			}
+			held2s = got.target == "/v2/stream?follow=1&wait_ms=2000"
+		case <-time.After(patience):
+			t.Fatal("no poll")
+		}
+	}
 	cancel()
 	if err := <-ended; err != nil {
 		t.Error(err)
 	}
 }
+
+// Each event is told once, however the answers that bring them are numbered or cut.
+func TestEachEventIsTold(t *testing.T) {
+	at := func(number, port int) string {
+		return fmt.Sprintf(`{"index":%d,"endpoints":{"members":[{"id":"a","host_port":"h:%d","phase":"in_service"}]}}`, number, port)
+	}
+	answer := func(index int, events ...string) string {
+		return ok(fmt.Sprintf(`{"index":%d,"updates":[%s]}`, index, strings.Join(events, ",")))
+	}
+	for name, e := range map[string]struct {
+		answers []string
+		want    string // ports in order
+		last    uint64
+	}{
+		"in order":              {[]string{answer(2, at(1, 1), at(2, 2)), answer(3, at(3, 3))}, "1 2 3", 3},
+		"told before":           {[]string{answer(2, at(1, 1), at(2, 2)), answer(3, at(2, 2), at(3, 3))}, "1 2 3", 3},
+		"number ahead":          {[]string{answer(2, at(1, 1)), answer(2, at(2, 2))}, "1 2", 2},
+		"number ahead, no news": {[]string{answer(1, at(1, 1)), answer(2), answer(2, at(2, 2))}, "1 2", 2},
+		"number behind":         {[]string{answer(0, at(1, 1)), answer(1, at(2, 2))}, "1 2", 2},
+		"twice one number":      {[]string{answer(2, at(1, 1), at(2, 2), at(2, 3)), answer(3, at(3, 4))}, "1 2 3 4", 3},
+		"out of order":          {[]string{answer(2, at(2, 1), at(1, 2)), answer(3, at(3, 3))}, "1 2 3", 3},
+		"without a number":      {[]string{answer(1, at(1, 1), at(0, 2)), answer(2, at(2, 3))}, "1 2 3", 2},
+		"a fault after it":      {[]string{ok(`{"index":2,"updates":[` + at(1, 1) + `,{"index":2,"endpoints":{"members":[{}]}}]}`), answer(2, at(1, 1), at(2, 2))}, "1 2", 2},
+		"spoilt after it":       {[]string{ok(`{"index":2,"updates":[` + at(1, 1) + `}`), answer(2, at(1, 1), at(2, 2))}, "1 2", 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var ports []string
+			c := quiet(func(n Change) { ports = append(ports, strings.TrimPrefix(n.Members[0].Addr, "h:")) })
+			for _, text := range e.answers {
+				addr := once(t, text)
+				c.follow(t.Context(), addr, time.Minute)
+			}
+			if got := strings.Join(ports, " "); got != e.want || c.last != e.last {
+				t.Errorf("told %s, last %d; want %s, %d", got, c.last, e.want, e.last)
+			}
+		})
+	}
+}
+
+// An answer that is cut off at any byte tells nothing, whoever cuts it: the coordinator,
+// or an Ask or a move that comes when so much of it is here. The next one tells all of it.
+func TestAnswerCutAnywhere(t *testing.T) {
+	whole := ok(event(1, 1))
+	for n := range len(whole) {
+		told := 0
+		c := quiet(func(Change) { told++ })
+		c.follow(t.Context(), once(t, whole[:n]), time.Minute)
+		ctx, cancel := context.WithCancel(t.Context())
+		far, near := net.Pipe()
+		ended := make(chan error, 1)
+		go func() {
+			_, _, _, err := newAnswers(near).next()
+			ended <- err
+		}()
+		stop := context.AfterFunc(ctx, func() { near.Close() })
+		far.Write([]byte(whole[:n])) // a pipe's write returns when all of it is read
+		cancel()
+		if err := <-ended; err == nil || told != 0 || c.last != 0 {
+			t.Fatalf("at byte %d: %v, told %d, last %d", n, err, told, c.last)
+		}
+		stop()
+		far.Close()
+		c.follow(t.Context(), once(t, whole), time.Minute)
+		if told != 1 || c.last != 1 {
+			t.Fatalf("after byte %d: told %d, last %d", n, told, c.last)
+		}
+	}
+}
+
+// A coordinator that answers without waiting and without news is asked anew after a
+// pause: follow gives it up.
+func TestNoNewsAtOnce(t *testing.T) {
+	var polls atomic.Int32
+	addr := scripted(t, func(int, int, string) string {
+		if polls.Add(1) > 2 {
+			return ""
+		}
+		return ok(`{"index":0,"updates":[]}`)
+	})
+	if err := quiet(nil).follow(t.Context(), addr, 0); err != nil || polls.Load() != 2 {
+		t.Errorf("%v after %d polls", err, polls.Load()) // the first was not to be held
+	}
+}
