Close no viewer's connection over a set-up that crosses; end after its answers

Cause: between the look at a connection and its close a set-up could open; the place was free before the descriptor; an answer not yet written was dropped by an eviction; in a rush each newcomer lost its place before its first request was read; at the end a set-up that was read last went unanswered. Change: shut bars set-ups in the same step that finds none open and nothing unwritten; end closes the descriptor before it tells so, and takes nothing more; one that has just come keeps its place for 50 ms; Serve waits, at most 500 ms, for the answers to open set-ups before it ends connections. A room that another process gets half of gives up more than one place. On EMFILE the least missed connection gives way; equal errors of accept are logged once in a row.

--- a/internal/front/peer/peer.go
+++ b/internal/front/peer/peer.go
@@ -13,6 +13,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,6 +41,12 @@
 	wordTime  = 2 * time.Second
 	idleTime  = 30 * time.Second // without a message, and with no set-up open
 	watchTime = 100 * time.Millisecond
+	// freshTime is how long one that has sent nothing keeps its place whatever comes.
+	freshTime = 50 * time.Millisecond
+	// settleTime is how long answers are waited for at the end: who gives them has
+	// been asked to give them at once.
+	settleTime  = 500 * time.Millisecond
+	acceptAfter = 10 * time.Millisecond // an error of the listener's
 )
 
 // DefaultOpen is how many set-ups may be open on one connection.
@@ -188,6 +195,27 @@
 	return len(c.open) > 0
 }
 
+// shut lets no more set-ups open if nothing is owed: none is open, and all answers are
+// written. Guard: between a look at a connection and its close a set-up may open, which
+// would go down with it.
+func (c *Conn) shut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.open) > 0 || c.waiting.Load() > 0 {
+		return false
+	}
+	c.most = 0
+	return true
+}
+
+// bar lets no more set-ups open, and tells whether any is.
+func (c *Conn) bar() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.most = 0
+	return len(c.open) > 0
+}
+
 // Know marks a connection whose client has had a session.
 func (c *Conn) Know() { c.known.Store(true) }
 
@@ -199,6 +227,9 @@
 // Known tells whether its client has had a session.
 func (c *Conn) Known() bool { return c.known.Load() }
 
+// drips is why a connection is closed also where set-ups are open on it.
+const drips = "no whole message"
+
 // overdue tells why a connection is to be closed by now.
 func (c *Conn) overdue(now time.Time) string {
 	age := now.Sub(c.came)
@@ -207,7 +238,7 @@
 	case c.paused.Load(): // nothing is read of it: the writer's time counts
 		return ""
 	case begun > 0 && age-begun > wordTime:
-		return "no whole message"
+		return drips
 	case c.owes():
 		return ""
 	case begun == 0 && c.gate != nil && c.gate.LetsGo(now, age-whole, c.standing.Load() > 0):
@@ -259,9 +290,11 @@
 	return nil
 }
 
+// end takes nothing more, closes the descriptor, and tells that it is free.
 func (c *Conn) end() {
-	close(c.gone)
+	c.Finish()
 	c.Conn.Close()
+	close(c.gone)
 }
 
 // write is the actor that writes what was Put.
@@ -367,26 +400,78 @@
 	return len(r.all) >= most
 }
 
-// enter makes room for c. A full room loses the connection that is missed
-// least; if all have set-ups open, c can't enter.
+// enter makes room for c. A full room loses the connections that are missed
+// least; if all are owed something, c can't enter.
 func (r *room) enter(c *Conn) bool {
+	for {
+		entered, wait := r.try(c)
+		if wait <= 0 {
+			return entered
+		}
+		time.Sleep(wait)
+	}
+}
+
+// try enters c, or tells for how long it has to wait.
+func (r *room) try(c *Conn) (entered bool, wait time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.full() {
+	for r.full() { // by more than one once another process has half
+		if yielded, wait := r.yield(); !yielded {
+			return false, wait
+		}
+	}
+	r.all[c] = true
+	return true, 0
+}
+
+// yield closes the connection that is missed least. False: all are owed something, or
+// it has just come. Guard: in a rush each would otherwise lose its place to the next
+// before its first request is read.
+func (r *room) yield() (yielded bool, wait time.Duration) {
+	for {
 		var least *Conn
 		for o := range r.all {
-			if !o.owes() && (least == nil || o.before(least)) {
+			if !o.owes() && o.waiting.Load() == 0 && (least == nil || o.before(least)) {
 				least = o
 			}
 		}
 		if least == nil {
-			return false
+			return false, 0
+		}
+		if wait := freshTime - time.Since(least.came); least.whole.Load() == 0 && wait > 0 {
+			return false, wait
+		}
+		if least.shut() { // else a set-up has just come
+			delete(r.all, least)
+			least.Close()
+			return true, 0
 		}
-		delete(r.all, least)
-		least.Close()
 	}
-	r.all[c] = true
-	return true
+}
+
+// want makes room where the machine gives no more descriptors.
+func (r *room) want() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.yield()
+}
+
+// settle waits until no set-up is open, for settleTime at most.
+func (r *room) settle() {
+	for until := time.Now().Add(settleTime); time.Now().Before(until) && r.owe(); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// owe lets no more set-ups open, and tells whether any is.
+func (r *room) owe() (owe bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.all {
+		owe = c.bar() || owe
+	}
+	return owe
 }
 
 // before tells whether c is missed less than o: its client has had no session,
@@ -419,7 +504,7 @@
 		case now := <-tick.C:
 			r.mu.Lock()
 			for c := range r.all {
-				if why := c.overdue(now); why != "" {
+				if why := c.overdue(now); why == drips || why != "" && c.shut() {
 					log.Debug("viewer's connection closed", zap.String("from", c.Host), zap.String("why", why))
 					c.Finish()
 				}
@@ -429,26 +514,40 @@
 	}
 }
 
-// Serve accepts until ctx ends and handles each connection until handle returns.
+// Serve accepts until ctx ends and handles each connection until handle returns. Then
+// it waits for the answers to the set-ups that are open, so whoever gives them is to
+// end later.
 func Serve(ctx context.Context, l net.Listener, limits Limits, log *zap.Logger, handle func(context.Context, *Conn)) error {
-	group, ctx := errgroup.WithContext(ctx)
 	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
+	live, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	group, live := errgroup.WithContext(live)
 	r := &room{Limits: limits, all: make(map[*Conn]bool)}
-	group.Go(func() error { return r.watch(ctx, log) })
+	group.Go(func() error { return r.watch(live, log) })
+	said := ""
 	for {
 		nc, err := l.Accept()
 		if ctx.Err() != nil {
 			if err == nil {
 				nc.Close()
 			}
+			r.settle()
+			end()
 			return group.Wait()
 		}
 		if err != nil {
-			log.Warn("accept", zap.Error(err))
-			time.Sleep(10 * time.Millisecond)
+			if why := err.Error(); why != said { // it may go on for long
+				log.Warn("accept", zap.Error(err))
+				said = why
+			}
+			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+				r.want()
+			}
+			time.Sleep(acceptAfter)
 			continue
 		}
+		said = ""
 		c := newConn(nc, limits.Open, limits.Gate, log)
 		// Guard: descriptors beyond the viewers' part are not held, and those who
 		// say nothing or stay for good lock nobody out.
@@ -456,7 +555,7 @@
 			nc.Close()
 			continue
 		}
-		group.Go(func() error { c.write(ctx); return nil })
+		group.Go(func() error { c.write(live); return nil })
 		group.Go(func() error {
 			// It takes up its place until its last answers are out as well.
 			defer func() { <-c.gone; r.leave(c) }()
@@ -468,7 +567,7 @@
 					log.Error("connection handler", zap.Any("panic", p), zap.Stack("stack"))
 				}
 			}()
-			handle(ctx, c)
+			handle(live, c)
 			return nil
 		})
 	}
