Let no reload hold up a signal; end the fronts before the broker

Cause: the signal loop read the files itself, so SIGTERM waited for a reload and SIGHUP was lost during a drain; fronts and broker ended at the same instant; a process that was asked to end stayed marked as one that serves, so that an older one left its sessions to it; the watch and SIGTERM looked for other processes at once (data race). Change: the reload has a goroutine of its own; signals are read to the end; the fronts end first; the mark is withdrawn with the first signal; look is locked.

--- a/internal/handover/process.go
+++ b/internal/handover/process.go
@@ -41,9 +41,13 @@
 	return p, nil
 }
 
-// Serves marks this process as one that serves.
-func (p *Process) Serves() error {
-	_, err := p.file.WriteAt([]byte{'+'}, 0)
+// Serves marks this process as one that serves, or that no longer does.
+func (p *Process) Serves(yes bool) error {
+	mark := byte('-')
+	if yes {
+		mark = '+'
+	}
+	_, err := p.file.WriteAt([]byte{mark}, 0)
 	return err
 }
 
--- a/internal/handover/state_test.go
+++ b/internal/handover/state_test.go
@@ -117,10 +117,10 @@
 	if o := look(a); o.Alive != 1 || o.Younger {
 		t.Fatalf("the younger one does not serve yet: %+v", o)
 	}
-	if err := b.Serves(); err != nil {
+	if err := b.Serves(true); err != nil {
 		t.Fatal(err)
 	}
-	if err := a.Serves(); err != nil {
+	if err := a.Serves(true); err != nil {
 		t.Fatal(err)
 	}
 	if o := look(a); !o.Younger || !o.Alone {
@@ -129,6 +129,12 @@
 	if o := look(b); o.Alive != 1 || o.Younger {
 		t.Fatalf("the other one is older: %+v", o)
 	}
+	if err := b.Serves(false); err != nil {
+		t.Fatal(err)
+	}
+	if o := look(a); o.Alive != 1 || o.Younger {
+		t.Fatalf("the younger one serves no more: %+v", o)
+	}
 	c := enter(3)
 	if o := look(a); o.Alive != 2 || o.Alone {
 		t.Fatalf("three: %+v", o)
--- a/internal/server/operation.go
+++ b/internal/server/operation.go
@@ -153,10 +153,19 @@
 
 func (o *operation) serves() {
 	o.ready.Store(true)
-	if o.self != nil {
-		if err := o.self.Serves(); err != nil {
-			trouble(o.log, err)
-		}
+	o.mark()
+}
+
+// mark tells the other processes whether this one serves. Guard: an older one leaves what
+// stands to it by that, so it is not to be told by one that has been asked to end.
+func (o *operation) mark() {
+	if o.self == nil {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err := o.self.Serves(o.Ready()); err != nil {
+		trouble(o.log, err)
 	}
 }
 
@@ -181,11 +190,14 @@
 	}
 }
 
-// look shares the limits while another process is alive.
+// look shares the limits while another process is alive. Guard: the watch and a signal
+// may look at once; the limits are those of who looked last.
 func (o *operation) look() handover.Others {
 	if o.self == nil {
 		return handover.Others{}
 	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	others, err := o.self.Others()
 	if err != nil {
 		return others
@@ -316,6 +328,7 @@
 		return false
 	}
 	o.ended.Store(true)
+	o.mark()
 	others := o.look()
 	if !others.Younger {
 		return false
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 	"time"
 
@@ -146,6 +147,17 @@
 		Core: core, Catalog: catalog, Counts: counts, Reasons: cfg.Operator.Viewers.Reasons, Log: log,
 		Limits: peer.Limits{Most: cfg.ViewerConns(), Shared: hand.Shared, Open: cfg.Operator.Viewers.MostOpen, Gate: hand.Gate()},
 	}
+	// The fronts end before what answers them: a set-up that was read last is answered.
+	serving, endFronts := context.WithCancel(ctx)
+	defer endFronts()
+	var fronts sync.WaitGroup
+	serve := func(run func(context.Context, net.Listener) error, l net.Listener) {
+		fronts.Add(1)
+		group.Go(func() error {
+			defer fronts.Done()
+			return run(serving, l)
+		})
+	}
 	if w := cfg.Operator.WebSocket; w != nil {
 		// Both fronts share what viewers may hold of the descriptors.
 		front.Limits.Most = (cfg.ViewerConns() + 1) / 2
@@ -153,47 +165,64 @@
 			Core: core, Catalog: catalog, Path: w.Path, Grace: w.Grace, Counts: counts, Limits: front.Limits, Log: log,
 		}
 		second.Limits.Most = cfg.ViewerConns() / 2
-		group.Go(func() error { return second.Serve(ctx, at.Players) })
+		serve(second.Serve, at.Players)
 	}
 	group.Go(func() error { return core.Run(ctx) })
 	group.Go(func() error { return nodes.Run(ctx) })
 	group.Go(func() error { return coordinator.Run(ctx) })
-	group.Go(func() error { return front.Serve(ctx, at.Viewers) })
+	serve(front.Serve, at.Viewers)
+	again := make(chan struct{}, 1)
+	// Guard: a file that can't be read for long holds up no signal, and not the end: this
+	// goroutine is not waited for.
+	go func() {
+		for {
+			select {
+			case <-again:
+			case <-ctx.Done():
+				return
+			}
+			next, err := reload(&cfg)
+			if err != nil {
+				keep(err, log)
+				continue
+			}
+			coordinator.Follow(next.Coordinator)
+			routes.Swap(next.Operator.Routes)
+			told(&next, log)
+		}
+	}()
 	group.Go(func() error {
-		for draining := false; !draining; {
+		for draining := false; ; {
 			select {
 			case s := <-signals:
-				if s == syscall.SIGHUP {
-					if next, err := reload(&cfg); err != nil {
-						keep(err, log)
-					} else {
-						coordinator.Follow(next.Coordinator)
-						routes.Swap(next.Operator.Routes)
-						told(&next, log)
+				switch {
+				case s == syscall.SIGHUP: // also while it drains
+					select {
+					case again <- struct{}{}:
+					default: // the files are to be read already
 					}
-					continue
-				}
-				if hand.leave(at.Viewers, at.Players) {
+				case draining:
+				case hand.leave(at.Viewers, at.Players):
 					log.Info("leaving to a younger process", zap.Stringer("signal", s))
 					core.Leave()
-				} else {
+					draining = true
+				default:
 					log.Info("draining", zap.Stringer("signal", s))
 					core.Finish()
 					leave()
+					draining = true
 				}
-				draining = true
+			case <-core.Drained():
+				hand.last(core)
+				time.Sleep(lastWrites)
+				endFronts()
+				fronts.Wait()
+				cancel()
+				return nil
 			case <-ctx.Done():
 				return nil
 			}
 		}
-		select {
-		case <-core.Drained():
-			hand.last(core)
-			time.Sleep(lastWrites)
-			cancel()
-		case <-ctx.Done():
-		}
-		return nil
 	})
 	if hand != nil {
 		hand.nodes, hand.core, hand.front = nodes, core, front
@@ -236,7 +265,7 @@
 	log.Info("configuration reloaded", fields...)
 }
 
-// lastWrites is left for queued answers to be written before the end.
+// lastWrites is left for what is queued for nodes to be written before the end.
 const lastWrites = 50 * time.Millisecond
 
 // list is a change as the module takes it.
