--- a/cmd/millethinge/main.go
+++ b/cmd/millethinge/main.go
@@ -43,6 +43,10 @@
 
 // serve runs the session manager until a signal ends it.
 func (a *app) serve(l logging) int {
+	// Guard: first of all. It asks for a look at the files, and is not to end a process
+	// that is still at its first one; what ends one that has taken nothing may do so.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGHUP)
 	cfg, err := config.Load(a.getenv)
 	if err != nil {
 		fmt.Fprintln(a.err, "millethinge:", remedy.Text(err))
@@ -56,8 +60,7 @@
 		return statusUsage
 	}
 	log = log.With(zap.String("name", cfg.Name))
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	reload := func(running *config.Config) (config.Config, error) { return config.Reload(a.getenv, running) }
 	at, err := server.Listen(cfg)
 	if err == nil {
--- /dev/null
+++ b/cmd/millethinge/process_test.go
@@ -0,0 +1,397 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"millethinge/internal/standin"
+)
+
+// patience bounds what a test waits for; nothing passes or fails by less.
+const patience = 20 * time.Second
+
+// serves has the test's binary be the program, with so many descriptors.
+const serves = "MILLETHINGE_TEST_SERVES"
+
+func TestMain(m *testing.M) {
+	if n, err := strconv.ParseUint(os.Getenv(serves), 10, 64); err == nil {
+		if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: n, Max: n}); err != nil {
+			panic(err)
+		}
+		os.Exit((&app{os.Getenv, os.Stdin, os.Stdout, os.Stderr}).serve(logging{}))
+	}
+	os.Exit(m.Run())
+}
+
+const sockets = 128
+
+// platform is the program's configuration, by its addresses, the coordinator's and node a's.
+const platform = `{"name": "n0", "listen": %q, "admin": %q, "seed": "1f", "coordinator": %q, "limits": {"cores": 1, "memory_mb": 192, "sockets": %d},
+	"known": {"index": 1, "updates": [{"index": 1, "endpoints": {"revision": 1, "complete": true, "members": [%s]}}]},
+	"settings": {"balancers": 1, "localities": ["east"], "flavors": ["std"], "weights": "rough", "discovery": "automatic",
+	"lanes": [{"name": "feed", "effect": "idempotent", "goalTimeS": 30, "worth": 1}],
+	"familyInfo": {"classFloor": [0], "topByClass": [3], "scaleByClass": [1], "licenceCap": [0], "ratesKb": [1, 2, 3, 4],
+	"ladderWorth": [0.2, 0.5, 0.8, 1], "places": 2, "groups": 1, "kbPerWeight": 1e9, "rackLinkKb": 1e12, "kindStreams": [1000000]},
+	"feedback": {"fields": ["load_share", "x1"], "via": "none"}, "policyLimits": {"attemptsCap": 4, "probes": true}}}`
+
+func member(id, addr, phase string) string {
+	return fmt.Sprintf(`{"id": %q, "host_port": %q, "locality": "east", "flavor": "std", "cell": 0, "phase": %q, "size": 1}`, id, addr, phase)
+}
+
+// child is a process of the program. Its addresses stay over its starts.
+type child struct {
+	t                      *testing.T
+	viewers, players, call string
+	config, operator       string
+	members                string
+	cmd                    *exec.Cmd
+	serving                chan struct{}
+	ids                    int
+
+	mu  sync.Mutex
+	log bytes.Buffer
+}
+
+// free is an address that nobody listens at. Guard: no connection of the tests' own is
+// from its host, so that none takes the port.
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.2:0", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func loopback(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+func newChild(t *testing.T, members string) *child {
+	c := &child{t: t, viewers: free(t), players: free(t), call: free(t), members: members, config: filepath.Join(t.TempDir(), "config")}
+	c.operator = written(t, "operator.conf", "websocket {\n listen "+c.players+"\n}\n")
+	t.Cleanup(c.kill)
+	return c
+}
+
+// text is its configuration with a coordinator.
+func (c *child) text(coordinator string) []byte {
+	return fmt.Appendf(nil, platform, c.viewers, c.call, coordinator, sockets, c.members)
+}
+
+func (c *child) write(coordinator string) {
+	c.t.Helper()
+	if err := os.WriteFile(c.config, c.text(coordinator), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *child) start() {
+	c.t.Helper()
+	c.serving = make(chan struct{})
+	c.cmd = exec.Command(os.Args[0])
+	c.cmd.Env = []string{serves + "=" + strconv.Itoa(sockets), "BALANCER_CONFIG=" + c.config, "MILLETHINGE_OPERATOR=" + c.operator, "TMPDIR=" + c.t.TempDir()}
+	c.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	out, err := c.cmd.StderrPipe()
+	if err == nil {
+		err = c.cmd.Start()
+	}
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	serving := c.serving
+	go func() {
+		for in := bufio.NewScanner(out); in.Scan(); {
+			c.mu.Lock()
+			fmt.Fprintln(&c.log, in.Text())
+			c.mu.Unlock()
+			if strings.Contains(in.Text(), `"serving"`) {
+				close(serving)
+			}
+		}
+	}()
+}
+
+func (c *child) kill() {
+	if c.cmd != nil {
+		c.cmd.Process.Kill()
+		c.cmd.Wait()
+		c.cmd = nil
+	}
+}
+
+func (c *child) said() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.log.String()
+}
+
+// await waits for what comes.
+func await[T any](c *child, from <-chan T, what string) (v T) {
+	c.t.Helper()
+	select {
+	case v = <-from:
+	case <-time.After(patience):
+		c.t.Fatalf("no %s; it said:\n%s", what, c.said())
+	}
+	return v
+}
+
+// viewer is a connection to it, on which a line is sent and one is read.
+func viewer(addr string) (net.Conn, func(line string) (string, error), error) {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return nil, nil, err
+	}
+	in := bufio.NewReader(conn)
+	return conn, func(line string) (string, error) {
+		conn.SetDeadline(time.Now().Add(patience))
+		if _, err := io.WriteString(conn, line+"\n"); err != nil {
+			return "", err
+		}
+		return in.ReadString('\n')
+	}, nil
+}
+
+// idle fills its places: for viewers with clients that had a word and say no more, for
+// players and callers with such that say nothing.
+func (c *child) idle() {
+	c.t.Helper()
+	for range sockets / 2 {
+		for _, addr := range []string{c.players, c.call, c.viewers} {
+			conn, say, err := viewer(addr)
+			if err != nil {
+				c.t.Fatal(err)
+			}
+			c.t.Cleanup(func() { conn.Close() })
+			if addr == c.viewers {
+				if got, err := say(`{"type":"ping","id":"1"}`); err != nil || !strings.Contains(got, "pong") {
+					c.t.Fatal(got, err)
+				}
+			}
+		}
+	}
+}
+
+// setUp has a new client set a session up. Where others rush in, its connection may be
+// closed before its request is read; then it goes again, as clients do.
+func (c *child) setUp(rush bool) {
+	c.t.Helper()
+	for begun := time.Now(); ; {
+		conn, say, err := viewer(c.viewers)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		c.ids++
+		got, err := say(fmt.Sprintf(`{"type":"setup","id":"%016x","fields":{"class":"feed","left":"15000","key":"01","extras":"home:0;copies:1;top:3"},"sdp":"x"}`, c.ids))
+		conn.Close()
+		if err == nil && strings.Contains(got, `"answer"`) {
+			return
+		}
+		if !rush || got != "" || time.Since(begun) > patience {
+			c.t.Fatalf("%q, %v; it said:\n%s", got, err, c.said())
+		}
+		c.t.Log("goes again:", err)
+	}
+}
+
+// isReady tells whether a caller hears that it serves.
+func (c *child) isReady() bool {
+	res, err := (&http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}).Get("http://" + c.call + "/ready")
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// watched is a coordinator that holds polls. Away, it ends whoever comes; it has news or
+// none.
+type watched struct {
+	net.Listener
+	away, news atomic.Bool
+	members    string // of its second event
+	polls      chan string
+
+	mu  sync.Mutex
+	all []net.Conn
+}
+
+func watch(t *testing.T, members string) *watched {
+	w := &watched{Listener: loopback(t), members: members, polls: make(chan string, 1<<10)}
+	go func() {
+		for {
+			conn, err := w.Accept()
+			if err != nil {
+				return
+			}
+			if w.away.Load() {
+				conn.Close()
+				continue
+			}
+			w.mu.Lock()
+			w.all = append(w.all, conn)
+			w.mu.Unlock()
+			go w.talk(conn)
+		}
+	}()
+	t.Cleanup(w.leave)
+	return w
+}
+
+func (w *watched) talk(conn net.Conn) {
+	defer conn.Close()
+	for in := bufio.NewReader(conn); ; {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		w.polls <- req.FormValue("follow")
+		if req.FormValue("follow") == "1" && w.news.Load() {
+			text := fmt.Sprintf(`{"index":2,"updates":[{"index":2,"endpoints":{"revision":2,"members":[%s]}}]}`, w.members)
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		}
+	}
+}
+
+func (w *watched) leave() {
+	w.away.Store(true)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, conn := range w.all {
+		conn.Close()
+	}
+	w.all = nil
+}
+
+// With all places taken by clients that say nothing more, and no more descriptors than
+// the platform gives, a coordinator that was away is followed again when it is back,
+// there or elsewhere, and a new client is served by the list that it then tells.
+func TestIdleClientsKeepNobodyOut(t *testing.T) {
+	for name, elsewhere := range map[string]bool{"there": false, "elsewhere": true} {
+		t.Run(name, func(t *testing.T) {
+			gone := loopback(t).Addr().String()
+			node := loopback(t)
+			go (&standin.Node{Bill: standin.NewBill(), Decide: func(string, int) standin.Verdict { return standin.Verdict{Status: 200} }}).Serve(node)
+			change := member("a", gone, "terminating") + "," + member("b", node.Addr().String(), "in_service")
+			k := watch(t, change)
+			c := newChild(t, member("a", gone, "in_service"))
+			c.write(k.Addr().String())
+			c.start()
+			await(c, c.serving, "service")
+			await(c, k.polls, "poll")
+			c.idle()
+			held, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", c.cmd.Process.Pid))
+			if err != nil || len(held) < sockets/2 {
+				t.Errorf("%d descriptors, %v", len(held), err)
+			}
+			t.Log("descriptors held:", len(held), "of", sockets)
+			k.leave()
+			back := k
+			if elsewhere {
+				back = watch(t, change)
+				c.write(back.Addr().String())
+				c.cmd.Process.Signal(syscall.SIGHUP)
+			}
+			back.news.Store(true)
+			back.away.Store(false)
+			for await(c, back.polls, "poll after the list's change") != "2" {
+			}
+			c.setUp(false)
+			c.idle()
+			c.setUp(false)
+			if !c.isReady() {
+				t.Error("a caller is kept out")
+			}
+			if strings.Contains(c.said(), "too many open files") {
+				t.Errorf("want of descriptors:\n%s", c.said())
+			}
+		})
+	}
+}
+
+// Killed and started anew while the coordinator is silent, away or can't be reached, and
+// with clients coming at the same instant, the program serves and says that it is ready.
+func TestReadyWithoutCoordinator(t *testing.T) {
+	silent, away := watch(t, ""), watch(t, "")
+	away.away.Store(true)
+	for name, coordinator := range map[string]string{
+		"silent": silent.Addr().String(), "away": away.Addr().String(), "refuses": free(t), "unreachable": "192.0.2.1:7070", // RFC 5737: nobody's
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			node := loopback(t)
+			go (&standin.Node{Bill: standin.NewBill(), Decide: func(string, int) standin.Verdict { return standin.Verdict{Status: 200} }}).Serve(node)
+			c := newChild(t, member("a", node.Addr().String(), "in_service"))
+			c.write(coordinator)
+			for n := range 3 {
+				begun := time.Now()
+				c.start()
+				var rush sync.WaitGroup
+				for range sockets {
+					rush.Go(func() {
+						for time.Since(begun) < patience {
+							if conn, _, err := viewer(c.viewers); err == nil {
+								t.Cleanup(func() { conn.Close() })
+								return
+							}
+							time.Sleep(time.Millisecond)
+						}
+					})
+				}
+				await(c, c.serving, "service")
+				c.setUp(true)
+				served := time.Since(begun)
+				for !c.isReady() {
+					if time.Since(begun) > patience {
+						t.Fatalf("never ready; it said:\n%s", c.said())
+					}
+					time.Sleep(time.Millisecond)
+				}
+				t.Logf("start %d: served after %v, ready after %v", n, served.Round(time.Millisecond), time.Since(begun).Round(time.Millisecond))
+				rush.Wait()
+				c.kill()
+			}
+		})
+	}
+}
+
+// SIGHUP while the first configuration is still read does not end the process.
+func TestHangupAtTheStart(t *testing.T) {
+	c := newChild(t, member("a", "127.0.0.1:1", "in_service"))
+	if err := syscall.Mkfifo(c.config, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	k := watch(t, "")
+	c.start()
+	pipe, err := os.OpenFile(c.config, os.O_WRONLY, 0) // goes on once the process reads it
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.cmd.Process.Signal(syscall.SIGHUP)
+	pipe.Write(c.text(k.Addr().String()))
+	pipe.Close() // the second look at it waits for good
+	await(c, c.serving, "service")
+	await(c, k.polls, "poll")
+}
