--- a/cmd/millethinge/process_test.go
+++ b/cmd/millethinge/process_test.go
@@ -226,6 +226,25 @@
 	return res.StatusCode == http.StatusOK
 }
 
+// shy is an address on loopback that nothing is heard from: its listener's queue is full.
+func shy(t *testing.T) string {
+	l := loopback(t)
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if c, err := net.DialTimeout("tcp", l.Addr().String(), 100*time.Millisecond); err == nil {
+			t.Cleanup(func() { c.Close() })
+		}
+	}
+	return l.Addr().String()
+}
+
 // watched is a coordinator that holds polls. Away, it ends whoever comes; it has news or
 // none.
 type watched struct {
@@ -337,7 +356,7 @@
 	silent, away := watch(t, ""), watch(t, "")
 	away.away.Store(true)
 	for name, coordinator := range map[string]string{
-		"silent": silent.Addr().String(), "away": away.Addr().String(), "refuses": free(t), "unreachable": "192.0.2.1:7070", // RFC 5737: nobody's
+		"silent": silent.Addr().String(), "away": away.Addr().String(), "refuses": free(t), "unreachable": shy(t),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
