Count a set-up as answered only once its answer is queued

In Deliver of both fronts the set-up left the connection's open ones before its answer was queued; a close over nothing owed could come between. No test forces it: shut sees either the open set-up or the bytes that wait.

--- a/internal/front/jsonl/jsonl.go
+++ b/internal/front/jsonl/jsonl.go
@@ -80,7 +80,7 @@
 // Deliver sends an answer on the connection of its set-up. What ends a session
 // that stood goes on any open one: none owns it.
 func (c *conn) Deliver(r broker.Reply) bool {
-	c.Answered(uint64(r.ID))
+	defer c.Answered(uint64(r.ID)) // not before it is queued: the connection may be closed once nothing is owed
 	switch r.Kind {
 	case broker.GivenUp:
 		return true
--- a/internal/front/websocket/websocket.go
+++ b/internal/front/websocket/websocket.go
@@ -74,7 +74,7 @@
 // Deliver sends a reply on this socket. If it is lost, the broker keeps the
 // reply for the player to come back.
 func (c *conn) Deliver(r broker.Reply) bool {
-	c.Answered(uint64(r.ID))
+	defer c.Answered(uint64(r.ID)) // not before it is queued: the connection may be closed once nothing is owed
 	switch r.Kind {
 	case broker.GivenUp:
 		return true
