Take only uses in a report for a sign of the crowd

Cause: onLoad took the largest of all fields of a report, whatever they are, for the use of the fleet (control.go, crowd).

Change: x0, load_share and x1 count, after the check of their range.

TestCrowdIsOfUses fails without it (rung 0 where the use alone gives 3).

--- a/control/control.go
+++ b/control/control.go
@@ -773,26 +773,28 @@
 }
 
 func (c *Controller) onLoad(sv *server, load []float64) {
-	at := c.now - reportLagS
-	if len(load) > 0 && len(load) == len(c.set.Fields) {
-		c.crowd.add(slices.Max(load) * c.links() / c.meanSize() / float64(len(c.sessions)+evenHeld))
-	}
+	at, tight := c.now-reportLagS, -1.0 // the tighter use; other fields, such as counts, say nothing of it
 	for i, v := range load {
 		if sv == nil || i >= len(c.set.Fields) || !notNegative(v) || v > 100 {
 			continue
 		}
 		switch c.set.Fields[i] {
 		case "x0", "load_share": // at its cap, a share of load says no more than that
+			tight = max(tight, v)
 			c.fleetUse.add(min(v, 2) * c.links())
 			kb := v * c.link(sv)
 			if c.set.Fields[i] == "x0" || v < capped || kb > sv.own+c.othersOn(sv) {
 				sv.observe(at, kb, smoothLoad)
 			}
 		case "x1":
+			tight = max(tight, v)
 			c.rackUse.add(min(v, 2) * c.links())
 			sv.rack.observe(at, v*c.set.RackKB, smoothLoad)
 		}
 	}
+	if tight >= 0 {
+		c.crowd.add(tight * c.links() / c.meanSize() / float64(len(c.sessions)+evenHeld))
+	}
 }
 
 // Rungs in play.
--- a/control/size_test.go
+++ b/control/size_test.go
@@ -539,3 +539,26 @@
 	}
 	t.Error("no rung was lowered by twenty notes of 0.95")
 }
+
+// A report's fields that are no uses, such as a count of streams, and figures out of all
+// bounds are no sign of the crowd: a newcomer's rung is that of the use alone.
+func TestCrowdIsOfUses(t *testing.T) {
+	want := -1
+	for _, f := range []struct {
+		fields []string
+		load   []float64
+	}{{[]string{"x0"}, []float64{0.2}}, {[]string{"concurrent", "x0"}, []float64{12, 0.2}}, {[]string{"x1", "x0"}, []float64{1e30, 0.2}}} {
+		b := many(t)
+		b.c.set.Fields = f.fields
+		for i := range 12 {
+			b.do(Event{Kind: EvProbed, Server: Server(i + 1), Load: f.load})
+		}
+		rung := find(b.do(Event{Kind: EvArrive, Session: 1, Class: 1, Title: 9, LeftS: 5, Span: 12, MaxRung: 4}), ActRung).Rung
+		if want < 0 {
+			want = rung
+		}
+		if rung != want || rung == 0 {
+			t.Errorf("%v: rung %d, %d by the use alone", f.fields, rung, want)
+		}
+	}
+}
