Pace a server whose report shows a restart that the list hides

Seen: in virtual time (sessions of 5 s, 12 nodes, one restarted 0.5 s after it broke) the sum of all fronts went over N + 2 roots of N + 2 on 28 of 540 plays, all of them with lists that come late, 5 at the mean load. A trial's trace of who sent: fronts that had no session on the node and weren't told yet, and young ones whose first list hid the start; both sent to it as the least used one.

Change: a report under 0.15 of what a server was taken to have, and of what the fleet has, is a restart (control.emptied), and the server is paced as a listed one.

Open: young fronts whose first list hides the start at three times the load, above all where probes are dear.

--- a/control/control.go
+++ b/control/control.go
@@ -61,6 +61,8 @@
 	askPrice   = 0.04  // most that these probes may cost, in parts of the session's worth
 	askS       = 0.15  // s that a session waits for these probes
 	freshS     = 2     // s for which a report spares a probe at an arrival
+	emptyPart  = 0.15  // of what a server was taken to be asked for: under it, it has just started
+	emptyFrom  = 8     // sessions that it was taken to have, at the least; fewer end by chance
 	lotS       = 8     // s in which a front is taken to have one viewer for a cold server
 	crowdS     = 1     // s in which it is taken to have no more arrivals than one
 	meanShare  = 0.25  // weight of one report in the mean use of the fleet
@@ -222,6 +224,14 @@
 	return c.now < sv.coldTil
 }
 
+// emptied tells whether a report shows so little on a server that it must have started
+// again, beside what it was taken to have and what the fleet has. It harms where sessions
+// went for another reason: the server is paced for a warm-up.
+func (c *Controller) emptied(sv *server, kb, at float64) bool {
+	had := min(sv.ownAt(at)+c.othersOn(sv), c.fleetUse.v/c.links()*c.link(sv))
+	return c.now > sv.coldTil+staleS && had > emptyFrom*c.meanSize() && kb < emptyPart*had
+}
+
 // Load and room.
 
 // othersOn is what other fronts ask of a server's link: as last reported, or
@@ -255,12 +265,6 @@
 	return max((sv.own+c.othersOn(sv))/c.link(sv), (sv.rack.own+c.othersOnRack(sv.rack))/c.set.RackKB)
 }
 
-// slots is the size of a server in kB a second: the least of its streams, its
-// link and its part of the uplink.
-func (c *Controller) slots(sv *server) float64 {
-	return min(c.streams(sv)*c.middle, c.wide(sv))
-}
-
 // rackRoom is what is free of an uplink, in kB a second.
 func (c *Controller) rackRoom(r *rack) float64 {
 	return TargetUse*c.set.RackKB - r.own - c.othersOnRack(r)
@@ -363,13 +367,6 @@
 	c.titles[s.title] = c.now
 }
 
-// candidate is a holder in the order in which it is tried.
-type candidate struct {
-	sv  *server
-	use float64
-	tie uint64
-}
-
 // place sends a session to the least used holder with a free slot of its class,
 // or answers it at once.
 func (c *Controller) place(s *session) {
@@ -783,8 +780,11 @@
 		}
 		switch c.set.Fields[i] {
 		case "x0", "load_share": // at its cap, a share of load says no more than that
-			c.fleetUse.add(min(v, 2) * c.links())
 			kb := v * c.link(sv)
+			if c.emptied(sv, kb, at) { // it restarted, and the list hides it
+				c.chill(sv, at)
+			}
+			c.fleetUse.add(min(v, 2) * c.links())
 			if c.set.Fields[i] == "x0" || v < capped || kb > sv.own+c.othersOn(sv) {
 				sv.observe(at, kb, smoothLoad)
 			}
--- a/control/state.go
+++ b/control/state.go
@@ -43,6 +43,13 @@
 	faults   int     // errors on titles that never played, since the last start
 }
 
+// candidate is a holder in the order in which it is tried.
+type candidate struct {
+	sv  *server
+	use float64
+	tie uint64
+}
+
 // A session is one try of one viewer, from its arrival to its end.
 type session struct {
 	id         SessionID
@@ -404,6 +411,12 @@
 	return part * c.wide(sv)
 }
 
+// slots is the size of a server in kB a second: the least of its streams, its
+// link and its part of the uplink.
+func (c *Controller) slots(sv *server) float64 {
+	return min(c.streams(sv)*c.middle, c.wide(sv))
+}
+
 // wide is what a server's link and its part of the uplink let through, in kB a
 // second.
 func (c *Controller) wide(sv *server) float64 {
