--- a/cmd/millethinge/main.go
+++ b/cmd/millethinge/main.go
@@ -43,12 +43,16 @@
 
 // serve runs the session manager until a signal ends it.
 func (a *app) serve(l logging) int {
+	// Guard: first of all. It asks for a look at the files, and is not to end a process
+	// that is still at its first one; what ends one that has taken nothing may do so.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGHUP)
 	cfg, err := config.Load(a.getenv)
 	if err != nil {
 		fmt.Fprintln(a.err, "millethinge:", remedy.Text(err))
 		return statusUsage
 	}
-	runtime.GOMAXPROCS(max(1, int(math.Round(cfg.Cores))))
+	runtime.GOMAXPROCS(procs(cfg.Cores))
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
 	log, err := l.logger()
 	if err != nil {
@@ -56,8 +60,7 @@
 		return statusUsage
 	}
 	log = log.With(zap.String("name", cfg.Name))
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	reload := func(running *config.Config) (config.Config, error) { return config.Reload(a.getenv, running) }
 	at, err := server.Listen(cfg)
 	if err == nil {
@@ -70,6 +73,12 @@
 	return statusOK
 }
 
+// procs is how many threads may run Go code at once. Guard: each costs memory, so what is
+// allowed beyond the machine's processors buys nothing.
+func procs(cores float64) int {
+	return int(min(max(math.Round(cores), 1), float64(runtime.NumCPU())))
+}
+
 // logging is how the log is written. The zero value is the platform's.
 type logging struct{ level, format string }
 
--- a/internal/front/jsonl/jsonl.go
+++ b/internal/front/jsonl/jsonl.go
@@ -31,7 +31,7 @@
 
 	mu     sync.Mutex
 	conns  []*conn
-	unsent []end // those that found no open connection
+	unsent []*end // those that found no open connection of a known viewer
 }
 
 // conn is one viewers' connection.
@@ -40,8 +40,8 @@
 	front *Front
 
 	mu   sync.Mutex
-	ends []end // sent on it and not said to be heard, the oldest first
-	left bool  // it is not read any more: no end goes on it
+	ends []*end // sent on it and not said to be heard, the oldest first
+	left bool   // it is not read any more: no end goes on it
 }
 
 // Serve accepts until ctx ends.
@@ -96,13 +96,16 @@
 	if r.Kind != broker.Over && r.Kind != broker.Moved {
 		return c.send(r)
 	}
-	e := end{reply: r, host: c.Host, until: time.Now().Add(keepEnd)}
+	e := &end{reply: r, host: c.Host, until: time.Now().Add(keepEnd)}
 	if !c.sendEnd(e) {
 		c.front.sendEnd(e)
 	}
 	return true
 }
 
+// Gone is part of broker.Client.
+func (c *conn) Gone(id control.SessionID) bool { return c.Conn.Gone(uint64(id)) }
+
 // know marks c as a connection of viewers who have had a session.
 func (c *conn) know() {
 	if c.Known() {
@@ -156,7 +159,11 @@
 		return c.setUp(m)
 	case "release":
 		id, err := message.ParseID(m.ID)
-		return err == nil && c.front.Core.End(broker.ViewerEnd{ID: id, Cause: m.Cause})
+		if err != nil {
+			return false
+		}
+		c.Answered(uint64(id)) // first: an attempt that is under way in the broker is not begun
+		return c.front.Core.End(broker.ViewerEnd{ID: id, Cause: m.Cause})
 	case "released":
 		if id, err := message.ParseID(m.ID); err == nil {
 			c.heard(id)
--- a/internal/front/peer/peer_test.go
+++ b/internal/front/peer/peer_test.go
@@ -136,6 +136,8 @@
 		"waits for long":    {ever, func(c *Conn) { c.whole.Store(1); c.begun.Store(0); c.Opened(1) }, ""},
 		"is told":           {wordTime * 2, func(c *Conn) { c.Whole(false); c.Put(nil) }, ""},
 		"stays for good":    {ever, func(c *Conn) { c.whole.Store(1); c.begun.Store(0); c.Put(nil) }, "idle"},
+		"with a session":    {ever, func(c *Conn) { c.whole.Store(1); c.begun.Store(0); c.Put(nil); c.Stands() }, ""},
+		"which has ended":   {ever, func(c *Conn) { c.whole.Store(1); c.begun.Store(0); c.Put(nil); c.Stands(); c.Fell() }, "idle"},
 		"in use":            {ever, func(c *Conn) { c.Put(nil); c.Whole(false) }, ""},
 		"has its session":   {wordTime * 2, func(c *Conn) { c.Whole(false); c.Know() }, ""},
 	} {
@@ -149,16 +151,19 @@
 
 // A full room goes on taking connections: the one that is missed least goes.
 func TestFullRoom(t *testing.T) {
-	known, busy, asked, idle, fresh := at(9*time.Hour), at(9*time.Hour), at(8*time.Hour), at(7*time.Hour), at(0)
+	holds, known, busy, asked, idle, fresh := at(9*time.Hour), at(9*time.Hour), at(9*time.Hour), at(8*time.Hour), at(7*time.Hour), at(0)
+	holds.Know()
+	holds.Stands()
 	known.Know()
+	known.whole.Store(int64(time.Hour)) // idle for less long than holds
 	busy.Opened(1)
 	asked.whole.Store(int64(7 * time.Hour))
 	idle.whole.Store(int64(time.Hour))
-	r := &room{Limits: Limits{Most: 5}, all: map[*Conn]bool{known: true, busy: true, asked: true, idle: true, fresh: true}}
-	for i, gone := range []*Conn{idle, asked, fresh, known} {
+	r := &room{Limits: Limits{Most: 6}, all: map[*Conn]bool{holds: true, known: true, busy: true, asked: true, idle: true, fresh: true}}
+	for i, gone := range []*Conn{idle, asked, fresh, known, holds} {
 		c := at(0)
 		c.Opened(1)
-		if !r.enter(c) || r.all[gone] || len(r.all) != 5 {
+		if !r.enter(c) || r.all[gone] || len(r.all) != 6 {
 			t.Errorf("%d: the wrong one went", i)
 		}
 	}
@@ -190,6 +195,21 @@
 	return c, far
 }
 
+// A set-up that comes again under the id of an open one needs no second place: refused, it
+// would end the first one's too, and look as if its client had gone.
+func TestSameIDNeedsNoPlace(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	defer near.Close()
+	c := newConn(near, 1, nil, zap.NewNop())
+	if !c.Opened(1) || !c.Opened(1) || c.Opened(2) || c.Gone(1) || !c.Gone(2) {
+		t.Error("the same id takes a second place, or another one none")
+	}
+	if c.Answered(1); !c.Gone(1) || !c.Opened(2) {
+		t.Error("an answer frees no place")
+	}
+}
+
 // A client that asks and never listens is no longer read from, and loses its
 // connection once the writer's time is up: not sooner, not later.
 func TestNeverListens(t *testing.T) {
--- a/internal/media/media_test.go
+++ b/internal/media/media_test.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -39,9 +40,15 @@
 }
 
 func try(id control.SessionID) setUp {
-	return setUp{broker.Attempt{ID: id, Number: 1, Key: "1", Deadline: time.Now().Add(time.Hour)}}
+	return setUp{broker.Attempt{ID: id, Number: 1, Key: "1", Deadline: time.Now().Add(time.Hour), Client: new(client)}}
 }
 
+// client is a viewer of whom only matters whether it has gone.
+type client struct{ gone atomic.Bool }
+
+func (*client) Deliver(broker.Reply) bool     { return true }
+func (c *client) Gone(control.SessionID) bool { return c.gone.Load() }
+
 func status(t *testing.T, reports *[]broker.Report, want ...control.Status) {
 	t.Helper()
 	var got []control.Status
@@ -66,6 +73,46 @@
 	status(t, reports, control.Moot)
 }
 
+// Nor does anything go out whose client has gone by then, however it waited: not a byte
+// is written, and what comes behind it is.
+func TestNothingIsSentForWhoHasGone(t *testing.T) {
+	for name, wait := range map[string]func(n *node, c *conn, queued setUp, leave func()){
+		"for a slow dial": func(n *node, c *conn, queued setUp, leave func()) {
+			n.dialling = true
+			n.handle(queued)
+			leave()
+			n.handle(dialled{conn: c})
+		},
+		"for the list, after a stand": func(n *node, c *conn, queued setUp, leave func()) {
+			n.conns = []*conn{c}
+			n.pool.watch.Start(time.Now().Add(-time.Minute))
+			n.handle(queued)
+			leave()
+			n.pool.watch.Start(time.Now())
+			n.handle(goOn{})
+		},
+		"in the mailbox": func(n *node, c *conn, queued setUp, leave func()) {
+			n.conns = []*conn{c}
+			leave()
+			n.handle(queued)
+		},
+	} {
+		n, c, far, reports := bed(t)
+		queued, lines := try(1), make(chan string, 9)
+		go func() {
+			b := make([]byte, 4096)
+			k, _ := far.Read(b)
+			lines <- string(b[:k])
+		}()
+		wait(n, c, queued, func() { queued.Client.(*client).gone.Store(true) })
+		n.handle(try(2))
+		if got := <-lines; !strings.Contains(got, "Session: 0000000000000002") {
+			t.Errorf("waiting %s: wrote %q", name, got)
+		}
+		status(t, reports, control.Moot)
+	}
+}
+
 // Nothing is proven once a byte of SETUP has left; before, all is.
 func TestBrokenConnection(t *testing.T) {
 	n, c, far, reports := bed(t)
@@ -500,3 +547,39 @@
 		t.Errorf("%d probes wait, dialling %v", n.asked, n.dialling)
 	}
 }
+
+// Where the settings allow no probes none is written, whoever asks: the module hears that
+// it never left, and a connection that may be mute is taken for it after a test's time.
+func TestNoProbes(t *testing.T) {
+	n, _, _, reports := bed(t)
+	wrote := new(writes)
+	c := &conn{Conn: wrote, touched: time.Now(), used: true}
+	n.pool.cfg.NoProbes = true
+	n.conns = []*conn{c}
+	n.pool.nodes[n.server] = n
+	n.handle(stands{1})
+	n.dialling = true
+	n.handle(try(2))
+	n.handle(giveUp{2, 1, false}) // cancelled, without a word since it was written
+	for _, later := range []time.Duration{2 * suspectTime, silentTime + time.Second} {
+		n.look(time.Now().Add(later))
+		if mute := later > silentTime; c.dead != mute {
+			t.Errorf("after %v: taken for mute %v", later, c.dead)
+		}
+	}
+	n.pool.Probe(n.server)
+	if last := (*reports)[len(*reports)-1]; !n.box.Empty() || last.Kind != broker.Probed || last.Status != control.Moot {
+		t.Errorf("a probe is under way: %+v", last)
+	}
+	if got := string(wrote.b); strings.Contains(got, "OPTIONS") || strings.Count(got, "TEARDOWN") != 1 {
+		t.Errorf("wrote %q", got)
+	}
+}
+
+// writes keeps what is written on it.
+type writes struct {
+	stubConn
+	b []byte
+}
+
+func (w *writes) Write(b []byte) (int, error) { w.b = append(w.b, b...); return len(b), nil }
