--- a/internal/directory/coordinator.go
+++ b/internal/directory/coordinator.go
@@ -32,6 +32,7 @@
 // Updates is the coordinator's numbered events, as in its answers and in the
 // configuration.
 type Updates struct {
+	Index   uint64 `json:"index"` // is read for its form alone: only events' own numbers count
 	Updates []struct {
 		Index     uint64     `json:"index"`
 		Endpoints *endpoints `json:"endpoints"`
