Date a start that the list hides at the first word after a refused connection

A refused connection says that no process is there; a start that the list has not told then lies after it, and counts from the first sign of life.

TestStartIsDated fails without it (paced until 1030 in place of 1033).

--- a/control/api.go
+++ b/control/api.go
@@ -175,6 +175,7 @@
 	Attempt  int
 	Status   Status
 	Confined bool // Reset: the server is known to be there still
+	Down     bool // Reset, ConnectFailed: no process listens at the server's address
 	Finished bool
 	Load     []float64 // in the order of Settings.Fields
 	Note     NoteKind
--- a/control/cold_test.go
+++ b/control/cold_test.go
@@ -363,6 +363,43 @@
 	}
 }
 
+// A server whose process was down, as a refused connection tells, is paced for a warm-up
+// from its first sign of life, since it may have started as late as that. Where the list
+// has told of the start, or it is not known that the process was down, that changes nothing.
+func TestStartIsDated(t *testing.T) {
+	for _, e := range []struct {
+		name   string
+		status Status
+		down   bool
+		listed float64 // s after the failure at which the list dates a start; 0: not told
+		til    float64 // s after the failure at which the pace ends, beside the warm-up
+	}{
+		{"its process was down", Reset, true, 0, 3},
+		{"likewise, by a failed connection", ConnectFailed, true, 0, 3},
+		{"the list tells of the start first", Reset, true, 1, 1},
+		{"only out of reach", ConnectFailed, false, 0, 0},
+	} {
+		b := newBed(t, settings())
+		bad := b.mustSend(b.arrive(1, 1))
+		b.do(Event{Kind: EvEnd, Session: 1, Server: bad, Status: e.status, Down: e.down, Finished: true})
+		failed, sv := b.now, b.c.servers[bad]
+		if e.listed > 0 {
+			n := sv.Entry
+			n.SinceS = failed + e.listed
+			b.now += 2
+			b.do(Event{Kind: EvList, List: ListDelta, Entries: []Entry{n}})
+		}
+		b.now = failed + 3
+		for range 2 { // only the first sign of life dates it
+			b.do(Event{Kind: EvProbed, Server: bad, Load: []float64{0.1, 0.1}})
+			b.now++
+		}
+		if want := failed + e.til + b.c.set.WarmAfterS; math.Abs(sv.coldTil-want) > 0.01 {
+			t.Errorf("%s: paced until %.2f s, want %.2f", e.name, sv.coldTil, want)
+		}
+	}
+}
+
 // A report of next to nothing shows a restart that the list hides, but not where the
 // fleet has as little, few sessions were there, or the server has only just warmed.
 func TestEmptiedServerIsPaced(t *testing.T) {
--- a/control/control.go
+++ b/control/control.go
@@ -706,15 +706,16 @@
 			sv.observe(c.now, max(c.set.Guard*c.link(sv), sv.own+c.othersOn(sv)), smooth)
 		}
 	}
-	c.rest(sv, e.Status == ConnectFailed)
+	c.rest(sv, e)
 }
 
 // rest leaves a server alone for a while, and its zone once several of it in a row
 // could not be reached while another zone is heard of: at size each front would fail
 // on each server else. It harms where just these were at fault.
-func (c *Controller) rest(sv *server, silent bool) {
+func (c *Controller) rest(sv *server, e Event) {
 	sv.restTil = c.now + restS
-	if silent {
+	silent := e.Status == ConnectFailed
+	if sv.noteDown(c.now, e); silent {
 		c.lost[sv.Zone]++
 	}
 	lives := func(o *server) bool { return o.State == Ready && o.Zone != sv.Zone && c.lost[o.Zone] == 0 }
@@ -759,7 +760,7 @@
 		c.heard(sv)
 		c.onLoad(sv, e.Load)
 	} else if sv != nil && e.Status != Moot && c.quiet(sv, 0) > patienceS {
-		c.rest(sv, e.Status == ConnectFailed)
+		c.rest(sv, e)
 	}
 	c.placeWaiting(true)
 }
--- a/control/size_test.go
+++ b/control/size_test.go
@@ -504,7 +504,7 @@
 	b := zones(t, 1)
 	for i := range 6 { // servers short of connections in a zone that lives
 		b.c.heard(b.c.servers[11])
-		b.c.rest(b.c.servers[Server(2*(i%4)+1)], true)
+		b.c.rest(b.c.servers[Server(2*(i%4)+1)], Event{Status: ConnectFailed})
 	}
 	if b.now < b.c.lostTil[1] {
 		t.Error("a zone that is heard of was given up")
--- a/control/state.go
+++ b/control/state.go
@@ -34,6 +34,7 @@
 	byClass  []float64  // own kB a second by class
 	coldTil  float64
 	coldAt   float64 // assumed start, while now < coldTil
+	downAt   float64 // when its process was last known not to run
 	nextSend float64
 	probedAt float64
 	raisedOn float64 // the report that rungs were last raised on
@@ -249,8 +250,22 @@
 	return all
 }
 
-// heard notes a sign of life of a server, and so of its zone.
-func (c *Controller) heard(sv *server) { sv.heardAt, c.lost[sv.Zone] = c.now, 0 }
+// noteDown notes what a failure says of a server's process.
+func (sv *server) noteDown(now float64, e Event) {
+	if e.Down {
+		sv.downAt = now
+	}
+}
+
+// heard notes a sign of life of a server, and so of its zone. The first one since its process
+// was down is where the start is dated that the list doesn't tell yet. Dated at the failure,
+// every front's pace ended before the process was warm, by as long as it had been down.
+func (c *Controller) heard(sv *server) {
+	if max(sv.heardAt, sv.SinceS) < sv.downAt {
+		c.chill(sv, c.now)
+	}
+	sv.heardAt, c.lost[sv.Zone] = c.now, 0
+}
 
 // quiet is how long a server has given no sign of life since a time.
 func (c *Controller) quiet(sv *server, since float64) float64 { return c.now - max(since, sv.heardAt) }
--- a/internal/broker/api.go
+++ b/internal/broker/api.go
@@ -128,6 +128,7 @@
 	Status      control.Status
 	Cause       int  // of a release by the node
 	Confined    bool // Reset: only the connection broke, the node is there
+	Down        bool // Reset, ConnectFailed: no process listens at the node's address
 	Load        []float64
 	Note        control.NoteKind
 	Value       float64
--- a/internal/broker/hand.go
+++ b/internal/broker/hand.go
@@ -96,7 +96,7 @@
 			// The older process may have told its viewer, who then takes no notice.
 			b.nodes.Release(s.server, id, CauseEnded)
 			b.toldOver(s, Reply{Kind: Over, ID: id, Cause: cause})
-			b.over(s, control.Cancelled, nil)
+			b.over(s, Report{Status: control.Cancelled})
 		}
 	}
 	if a.Last {
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -157,7 +157,7 @@
 	if s.playing {
 		b.known(s, e.Cause)
 		b.nodes.Release(s.server, s.ID, e.Cause)
-		b.over(s, control.Cancelled, nil)
+		b.over(s, Report{Status: control.Cancelled})
 		return
 	}
 	b.abandon(s)
@@ -168,7 +168,7 @@
 	if s.playing {
 		b.known(s, CauseEnded)
 		b.nodes.Release(s.server, s.ID, CauseEnded)
-		b.over(s, control.Cancelled, nil)
+		b.over(s, Report{Status: control.Cancelled})
 		return
 	}
 	s.answered, s.reply = true, Reply{Kind: Failed, ID: s.ID, Cause: CauseFailed}
@@ -321,7 +321,7 @@
 		p.Reported(b.clock.now(), &r)
 	}
 	if r.Kind == Probed {
-		b.tell(control.Event{Kind: control.EvProbed, Server: r.Server, Status: r.Status, Load: r.Load})
+		b.tell(control.Event{Kind: control.EvProbed, Server: r.Server, Status: r.Status, Down: r.Down, Load: r.Load})
 		return
 	}
 	s := b.sessions[r.ID]
@@ -360,7 +360,7 @@
 	if !b.answer(s, Reply{Kind: Served, ID: s.ID, Description: r.Description}) {
 		// Its connection is gone and nobody will come back for it.
 		b.nodes.Release(s.server, s.ID, CauseEnded)
-		b.over(s, control.Cancelled, nil)
+		b.over(s, Report{Status: control.Cancelled})
 	}
 }
 
@@ -375,7 +375,7 @@
 		} else {
 			b.toldOver(s, Reply{Kind: Over, ID: s.ID, Cause: cause})
 		}
-		b.over(s, r.Status, r.Load)
+		b.over(s, r)
 		return
 	}
 	if !s.out {
@@ -392,7 +392,7 @@
 		s.mayRun = true
 	}
 	b.tell(control.Event{Kind: control.EvEnd, Session: s.ID, Attempt: s.attempt - 1, Server: s.server,
-		Status: r.Status, Confined: r.Confined, Finished: s.answered, Load: r.Load})
+		Status: r.Status, Confined: r.Confined, Down: r.Down, Finished: s.answered, Load: r.Load})
 	b.forget(s)
 }
 
@@ -415,18 +415,18 @@
 	s.reply = Reply{Kind: Over, ID: s.ID, Cause: cause}
 }
 
-// over ends a session that stood.
-func (b *Broker) over(s *session, status control.Status, load []float64) {
+// over ends a session that stood, as its node's report says.
+func (b *Broker) over(s *session, r Report) {
 	s.playing = false
 	if b.handed != nil {
 		b.handed[s.ID] = s.reply.Cause
 	}
 	if now := b.clock.now(); !s.stood.IsZero() {
 		for _, p := range b.parts {
-			p.Over(now, s.Class, now.Sub(s.stood), status != control.OK && status != control.Cancelled)
+			p.Over(now, s.Class, now.Sub(s.stood), r.Status != control.OK && r.Status != control.Cancelled)
 		}
 	}
 	b.tell(control.Event{Kind: control.EvEnd, Session: s.ID, Attempt: s.attempt - 1, Server: s.server,
-		Status: status, Finished: true, Load: load})
+		Status: r.Status, Down: r.Down, Finished: true, Load: r.Load})
 	b.forget(s)
 }
--- a/internal/media/media_test.go
+++ b/internal/media/media_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"net"
+	"os"
 	"reflect"
 	"slices"
 	"strings"
@@ -262,6 +263,7 @@
 		"spoilt":  {errSpoilt, dialled{}, true},
 		"reset":   {io.ErrUnexpectedEOF, dialled{conn: &conn{}}, true},
 		"refused": {io.ErrUnexpectedEOF, dialled{err: syscall.ECONNREFUSED}, false},
+		"no word": {io.ErrUnexpectedEOF, dialled{err: os.ErrDeadlineExceeded}, false},
 	} {
 		n, c, far, reports := bed(t)
 		n.conns, n.dialling = []*conn{c}, true
@@ -273,6 +275,7 @@
 			n.handle(e.then)
 		}
 		if len(*reports) != 1 || (*reports)[0].Status != control.Reset || (*reports)[0].Confined != e.confined ||
+			(*reports)[0].Down != (name == "refused") ||
 			len(n.attempts)+len(n.doubted) != 0 {
 			t.Errorf("%s: %+v", name, *reports)
 		}
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -82,6 +82,7 @@
 	heardAt  time.Time // when the node last showed a sign of life
 	wordAt   time.Time // when it last said anything; zero: never
 	retryAt  time.Time // when a lost node is looked at again
+	refused  bool      // the last connection was refused: no process is there
 	tries    int       // connections that failed since the last that came up
 	buf      []byte
 }
@@ -208,7 +209,7 @@
 }
 
 func (n *node) report(r broker.Report) {
-	r.Server = n.server
+	r.Server, r.Down = n.server, n.refused
 	n.pool.cfg.Report(r)
 }
 
@@ -303,7 +304,7 @@
 		n.dialFailed(m.err)
 		return
 	}
-	n.heardAt, n.tries, n.retryAt = time.Now(), 0, time.Time{}
+	n.heardAt, n.tries, n.retryAt, n.refused = time.Now(), 0, time.Time{}, false
 	n.conns = append(n.conns, m.conn)
 	if n.covered < m.breaks {
 		n.covered, n.silent = m.breaks, m.breaks > n.worded
@@ -374,6 +375,7 @@
 // program's own want of descriptors is not held against the node.
 func (n *node) dialFailed(err error) {
 	own := errors.Is(err, errNoRoom)
+	n.refused = errors.Is(err, syscall.ECONNREFUSED)
 	status := control.ConnectFailed
 	if own {
 		status = control.Moot
@@ -391,7 +393,7 @@
 		return
 	}
 	// Guard: it may have been open at the node, which then has said ends on it.
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	if !n.refused {
 		n.mayMiss(nil)
 	}
 	// Guard: the caller is owed an end within a second of when the node said it, and what
@@ -405,7 +407,7 @@
 	}
 	why := fmt.Sprint("no connection: ", err)
 	switch {
-	case errors.Is(err, syscall.ECONNREFUSED) && len(n.conns) == 0: // no process is there
+	case n.refused && len(n.conns) == 0:
 		n.lost(why)
 	case time.Since(n.heardAt) > lostTime:
 		n.retryAt = time.Now().Add(retryTime)
