Take the drain's grace of a stood-still program from the settings, not as 1 s

stall.After was 0.8 s whatever `obligations.drainGraceS` says: 1 s at the platform's sites, 0.8 s at deploy/sites/three-terraces, where a program that stood for up to 0.8 s could send to a node that had drained for all of its grace. Now a stand is what is longer than the grace less 200 ms: 0.8 s for 1 s, as before.

TestSetUpsWaitAfterAStand fails where NewPool doesn't hand the grace on (held is false after 0.5 s with a grace of 0.6 s). Tests of media, config and stall pass.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -34,13 +34,14 @@
 
 // Defaults of what the platform may leave out.
 const (
-	defaultMemoryMB = 192
-	defaultSockets  = 1024
-	defaultConnIdle = 15 * time.Second
-	defaultConnect  = 250 * time.Millisecond
-	defaultPerConn  = 32
-	defaultGiveUp   = 10 * time.Second
-	leftTimes       = 4 // a viewer waits so many times its class's deadline at most
+	defaultMemoryMB   = 192
+	defaultSockets    = 1024
+	defaultDrainGrace = time.Second
+	defaultConnIdle   = 15 * time.Second
+	defaultConnect    = 250 * time.Millisecond
+	defaultPerConn    = 32
+	defaultGiveUp     = 10 * time.Second
+	leftTimes         = 4 // a viewer waits so many times its class's deadline at most
 	// At a planned restart requests come for 0.6 s after SIGTERM. SIGKILL follows
 	// no sooner than the longest deadline, at most 3 s, and 0.7 s more.
 	drainTake          = 700 * time.Millisecond
@@ -77,6 +78,7 @@
 	MostLeft    time.Duration // the longest that a viewer may say it waits
 	Drain       broker.Drain
 
+	DrainGrace     time.Duration // after which nothing goes to a node that drains
 	ConnIdle       time.Duration
 	ConnectTimeout time.Duration
 	StreamsPerConn int
@@ -272,6 +274,7 @@
 	for _, t := range p.Projects {
 		c.Tenants = append(c.Tenants, t.Name)
 	}
+	c.DrainGrace = orDefault(p.Rules.DrainGraceS, defaultDrainGrace)
 	c.ConnIdle = orDefault(p.Limits.ConnIdleS, defaultConnIdle)
 	c.ConnectTimeout = orDefault(p.Limits.ConnectS, defaultConnect)
 	c.StreamsPerConn = p.Limits.PerConn
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -24,7 +24,7 @@
 
 func TestExampleConfiguration(t *testing.T) {
 	c, err := Parse([]byte(example(t)))
-	if err != nil || c.Name != "n0" || c.Seed != 0x8c1f30d27a5be964 || len(c.Known.Updates) != 1 || c.ConnIdle != 15*time.Second ||
+	if err != nil || c.Name != "n0" || c.Seed != 0x8c1f30d27a5be964 || len(c.Known.Updates) != 1 || c.ConnIdle != 15*time.Second || c.DrainGrace != time.Second ||
 		c.ConnectTimeout != 250*time.Millisecond || strings.Join(c.Classes, " ") != "clip feed" {
 		t.Errorf("%+v, %v", c, err)
 	}
@@ -93,9 +93,9 @@
 
 // A time that stands for "never" is only very long.
 func TestLongTimes(t *testing.T) {
-	c, err := Parse([]byte(strings.NewReplacer(`"connIdleS": 15`, `"connIdleS": 1e12`, `"giveUpS": 3`, `"giveUpS": 1e12`).Replace(example(t))))
-	if err != nil || c.ConnIdle*9 <= c.ConnIdle || c.MostLeft <= c.ConnIdle || c.Drain.Stay != 3600*time.Millisecond {
-		t.Errorf("idle %v, left %v, drain %v, %v", c.ConnIdle, c.MostLeft, c.Drain, err)
+	c, err := Parse([]byte(strings.NewReplacer(`"connIdleS": 15`, `"connIdleS": 1e12`, `"giveUpS": 3`, `"giveUpS": 1e12`, `"policyLimits"`, `"obligations": {"drainGraceS": 0.8}, "policyLimits"`).Replace(example(t))))
+	if err != nil || c.ConnIdle*9 <= c.ConnIdle || c.MostLeft <= c.ConnIdle || c.DrainGrace != 800*time.Millisecond || c.Drain.Stay != 3600*time.Millisecond {
+		t.Errorf("idle %v, left %v, drain %v, grace %v, %v", c.ConnIdle, c.MostLeft, c.Drain, c.DrainGrace, err)
 	}
 }
 
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -65,6 +65,7 @@
 		FallMultiple float64 `json:"fallMultiple"`
 		StartCap     float64 `json:"startCapacity"`
 		WarmAfterS   float64 `json:"warmAfterS"`
+		DrainGraceS  float64 `json:"drainGraceS"`
 		ExtraFloor   float64 `json:"extraFloor"`
 		RepeatRatio  float64 `json:"repeatRatio"`
 		RatioSpanS   float64 `json:"ratioSpanS"`
@@ -132,7 +133,7 @@
 		{"groups", float64(f.Groups), 0}, {"kbPerWeight", f.KBPerWeight, 0}, {"fleetKb", f.FleetKB, 0}, {"rackLinkKb", f.RackLinkKB, 0},
 		{"guard", f.Guard, 0}, {"seeS", f.SeeS, 0}, {"switchS", f.SwitchS, 0},
 		{"crossZone", c.CrossZone, 0}, {"probe", c.Probe, 0}, {"handshake", c.Handshake, 0},
-		{"fallMultiple", r.FallMultiple, 0}, {"startCapacity", r.StartCap, 0}, {"warmAfterS", r.WarmAfterS, 0},
+		{"fallMultiple", r.FallMultiple, 0}, {"startCapacity", r.StartCap, 0}, {"warmAfterS", r.WarmAfterS, 0}, {"drainGraceS", r.DrainGraceS, 0},
 		{"ratioSpanS", r.RatioSpanS, 0}, {"extraFloor", r.ExtraFloor, 0}, {"repeatRatio", r.RepeatRatio, 0},
 	} {
 		least(k.key, k.v, k.least)
--- a/internal/media/ends_test.go
+++ b/internal/media/ends_test.go
@@ -7,6 +7,9 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
 	"millethinge/control"
 	"millethinge/internal/broker"
 	"millethinge/internal/rtsp"
@@ -190,8 +193,17 @@
 }
 
 // A program that was stopped believes a list that may be old: what is to be sent when
-// it goes on waits until the list has been asked again, and then goes by it.
+// it goes on waits until the list has been asked again, and then goes by it. How old it
+// may be is the drain's grace of the settings.
 func TestSetUpsWaitAfterAStand(t *testing.T) {
+	for grace, held := range map[time.Duration]bool{600 * time.Millisecond: true, time.Hour: false} {
+		p := NewPool(t.Context(), new(errgroup.Group), Config{DrainGrace: grace, Log: zap.NewNop()})
+		now := time.Now()
+		p.watch.Start(now)
+		if p.beat(now.Add(500*time.Millisecond)) != held {
+			t.Errorf("half a second's stand with a grace of %v: held is %v", grace, !held)
+		}
+	}
 	stood := 0
 	for name, drained := range map[string]bool{"nothing has changed": false, "it drains by now": true} {
 		n, _, _, reports := bed(t)
--- a/internal/media/media_test.go
+++ b/internal/media/media_test.go
@@ -29,7 +29,7 @@
 	t.Helper()
 	reports = new([]broker.Report)
 	p := NewPool(t.Context(), new(errgroup.Group), Config{
-		Classes: []string{"clip"}, ConnIdle: time.Hour, StreamsPerConn: 4, MaxConns: 9,
+		Classes: []string{"clip"}, ConnIdle: time.Hour, StreamsPerConn: 4, MaxConns: 9, DrainGrace: time.Second,
 		Report: func(r broker.Report) { *reports = append(*reports, r) }, Log: zap.NewNop(),
 	})
 	n = newNode(p, directory.Member{Entry: control.Entry{Server: 7}, Addr: "127.0.0.1:1"})
--- a/internal/media/pool.go
+++ b/internal/media/pool.go
@@ -32,6 +32,7 @@
 	ConnIdle       time.Duration // after which nodes close a connection
 	StreamsPerConn int           // set-ups open on one connection
 	MaxConns       int           // connections to all nodes
+	DrainGrace     time.Duration // after which nothing goes to a node that drains
 	NoProbes       bool          // nodes may not be tested
 	Shared         func() bool   // while it says so another process has half of them; nil: none ever has
 	Tried          func()        // told of each SETUP that is written whole; nil: nobody
@@ -62,7 +63,8 @@
 
 // NewPool returns a Pool whose actors run in group until ctx ends.
 func NewPool(ctx context.Context, group *errgroup.Group, cfg Config) *Pool {
-	return &Pool{cfg: cfg, group: group, ctx: ctx, nodes: make(map[control.Server]*node)}
+	return &Pool{cfg: cfg, group: group, ctx: ctx, nodes: make(map[control.Server]*node),
+		watch: stall.Watch{After: stall.Within(cfg.DrainGrace)}}
 }
 
 // Apply takes a change to the list. A node's state binds its next SETUP as soon
@@ -99,7 +101,7 @@
 // beat notes that the program runs, and tells whether set-ups are held back.
 //
 // Guard: a program that was stopped and goes on believes a list that may be older
-// than a second: what drained meanwhile would get what had been queued, and what was
+// than a drain's grace: what drained meanwhile would get what had been queued, and what was
 // read first. Nothing is sent until the list has been asked again, or can't be.
 func (p *Pool) beat(now time.Time) (held bool) {
 	if stood := p.watch.Beat(now); stood > 0 {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -94,7 +94,7 @@
 	pool := media.NewPool(ctx, group, media.Config{
 		Classes: cfg.Classes, Fields: cfg.Settings.Fields,
 		ConnectTimeout: cfg.ConnectTimeout, ConnIdle: cfg.ConnIdle,
-		StreamsPerConn: cfg.StreamsPerConn, MaxConns: cfg.NodeConns(),
+		StreamsPerConn: cfg.StreamsPerConn, MaxConns: cfg.NodeConns(), DrainGrace: cfg.DrainGrace,
 		NoProbes: !cfg.Settings.Probes,
 		Shared:   hand.Shared, Tried: counts.Tried,
 		Report: func(r broker.Report) { core.Report(r) }, Log: log,
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -8,16 +8,17 @@
 package stall
 
 import (
+	"cmp"
 	"sync"
 	"time"
 )
 
 // Figures of a Watch.
 const (
-	// After is the time without a beat after which the program is taken to have
-	// stood. Beats come every 100 ms; a drain binds 1 s after it was told, and
-	// whatever stood for less still hears of it in time.
-	After = 800 * time.Millisecond
+	// usualAfter is Watch.After where nothing else is said.
+	usualAfter = 800 * time.Millisecond
+	// beats is what passes between two at most, twice.
+	beats = 200 * time.Millisecond
 	// Most is how long anything is held back: where nobody can be asked, the old
 	// word is all there is.
 	Most = time.Second
@@ -25,11 +26,19 @@
 
 // Watch is a program's pulse. It is safe for use by many goroutines.
 type Watch struct {
+	// After is the time without a beat after which the program is taken to have
+	// stood; not to be changed once it beats. 0: 800 ms.
+	After time.Duration
+
 	mu   sync.Mutex
 	beat time.Time
 	from time.Time // when the last stand was noticed; zero: nothing is held back
 }
 
+// Within returns the After of a Watch whose program must not act on what has been
+// untrue for longer than grace: whatever stood for less still hears of it in time.
+func Within(grace time.Duration) time.Duration { return max(grace-beats, beats) }
+
 // Start begins anew at a time, after which beats come.
 func (w *Watch) Start(now time.Time) {
 	w.mu.Lock()
@@ -48,7 +57,7 @@
 	}
 	first := w.beat.IsZero()
 	w.beat = now
-	if first || gap <= After {
+	if first || gap <= cmp.Or(w.After, usualAfter) {
 		return 0
 	}
 	w.from = now
--- a/internal/stall/stall_test.go
+++ b/internal/stall/stall_test.go
@@ -34,6 +34,14 @@
 	if w.Beat(at(9000)) == 0 || !w.Held(at(9900)) || w.Held(at(10001)) {
 		t.Error("held back for other than at most a second")
 	}
+	w.After = Within(400 * time.Millisecond)
+	w.Start(at(40_000))
+	if w.Beat(at(40_200)) != 0 || w.Beat(at(40_401)) == 0 {
+		t.Error("200 ms are told as a stand, or 201 are not, where 400 are allowed")
+	}
+	if got := Within(time.Second); got != usualAfter {
+		t.Errorf("%v for a grace of a second", got)
+	}
 	w.Start(at(50_000))
 	if w.Beat(at(50_100)) != 0 || w.Held(at(50_100)) {
 		t.Error("a start is taken for a stand")
