Have the put-in fault of hidden-restart take out both datings of a start

With starts dated at the first word after a refused connection the fault that only took out the dating at the failure was no longer told: the scenario's sum stays at a quarter of the bound by the second one.

--- a/internal/fleettest/scenario_test.go
+++ b/internal/fleettest/scenario_test.go
@@ -21,7 +21,7 @@
 // folder is for what the tests build.
 var folder string
 
-var onlyOne = flag.String("scenario", "", "play only the scenario of this name")
+var onlyOne = flag.String("scenario", "", "play only the scenario of this name, or its faults")
 
 func TestMain(m *testing.M) {
 	if breaks := os.Getenv(badEnv); breaks != "" {
@@ -161,8 +161,14 @@
 		{"ops-figures", "figures\" broken:  tries", []Patch{{"internal/broker/counts.go", "		c.Tries.Add(1)\n", "		c.Tries.Add(1 - c.Tries.Load()%5/4)\n"}}},
 		{"ops-figures", "figures\" broken:  shed", []Patch{{"internal/broker/counts.go", "		c.Refused[class].Add(1)\n", ""}}},
 		{"ops-figures", "figures\" broken:  active of m", []Patch{{"internal/server/operation.go", "Active: c.Open + c.Playing", "Active: c.Open"}}},
-		{"hidden-restart", `"cold" broken`, []Patch{{"control/control.go", "		c.chill(sv, c.now)\n", ""}}},
+		{"hidden-restart", `"cold" broken`, []Patch{
+			{"control/control.go", "		c.chill(sv, c.now)\n", ""},
+			{"control/state.go", "		c.chill(sv, c.now)\n", ""},
+		}},
 	} {
+		if *onlyOne != "" && e.scenario != *onlyOne {
+			continue
+		}
 		folder := t.TempDir()
 		all = append(all, play(t, e.scenario, e.rule, func() (string, error) { return BuildPatched(root, folder, e.patches...) }))
 	}
