Count what the program itself holds; no descriptor is wanted with all places taken

Cause: beside viewers and nodes an eighth of the descriptors, twice and 48 at most, was kept, while callers alone may hold 32 and the program's own listeners, poller, control group's files, coordinator, DNS-SD, mark and files up to 17. With 64 of them, all places taken at once wanted 80. Two processes at an upgrade each kept half of the connections and the whole of the rest.

Change: internal/config counts what is held (ownDescriptors), callers' places come from the limits (an eighth, 32 at most), and nodes have what is left. Each of two processes takes the budget of a configuration of half the descriptors (Config.Half). A caller's descriptor is free before its place is.

TestAllPlacesAtOnce forces it with real processes of 64, 96, 128 and 256 descriptors. TestDescriptors keeps its bounds and counts both forms in addition.

--- a/cmd/millethinge/process_test.go
+++ b/cmd/millethinge/process_test.go
@@ -18,6 +18,8 @@
 	"testing"
 	"time"
 
+	"millethinge/internal/config"
+	"millethinge/internal/front/peer"
 	"millethinge/internal/standin"
 )
 
@@ -46,7 +48,7 @@
 	"lanes": [{"name": "feed", "effect": "idempotent", "goalTimeS": 30, "worth": 1}],
 	"familyInfo": {"classFloor": [0], "topByClass": [3], "scaleByClass": [1], "licenceCap": [0], "ratesKb": [1, 2, 3, 4],
 	"ladderWorth": [0.2, 0.5, 0.8, 1], "places": 2, "groups": 1, "kbPerWeight": 1e9, "rackLinkKb": 1e12, "kindStreams": [1000000]},
-	"feedback": {"fields": ["load_share", "x1"], "via": "none"}, "policyLimits": {"attemptsCap": 4, "probes": true}}}`
+	"feedback": {"fields": ["load_share", "x1"], "via": "none"}, "policyLimits": {"attemptsCap": 4, "probes": true, "streamsPerConn": 1}}}`
 
 func member(id, addr, phase string) string {
 	return fmt.Sprintf(`{"id": %q, "host_port": %q, "locality": "east", "flavor": "std", "cell": 0, "phase": %q, "size": 1}`, id, addr, phase)
@@ -58,6 +60,7 @@
 	viewers, players, call string
 	config, operator       string
 	members                string
+	sockets                int
 	cmd                    *exec.Cmd
 	serving                chan struct{}
 	ids                    int
@@ -89,7 +92,7 @@
 }
 
 func newChild(t *testing.T, members string) *child {
-	c := &child{t: t, viewers: free(t), players: free(t), call: free(t), members: members, config: filepath.Join(t.TempDir(), "config")}
+	c := &child{t: t, sockets: sockets, viewers: free(t), players: free(t), call: free(t), members: members, config: filepath.Join(t.TempDir(), "config")}
 	c.operator = written(t, "operator.conf", "websocket {\n listen "+c.players+"\n}\n")
 	t.Cleanup(c.kill)
 	return c
@@ -97,7 +100,7 @@
 
 // text is its configuration with a coordinator.
 func (c *child) text(coordinator string) []byte {
-	return fmt.Appendf(nil, platform, c.viewers, c.call, coordinator, sockets, c.members)
+	return fmt.Appendf(nil, platform, c.viewers, c.call, coordinator, c.sockets, c.members)
 }
 
 func (c *child) write(coordinator string) {
@@ -107,11 +110,15 @@
 	}
 }
 
+func (c *child) env() []string {
+	return []string{"BALANCER_CONFIG=" + c.config, "MILLETHINGE_OPERATOR=" + c.operator}
+}
+
 func (c *child) start() {
 	c.t.Helper()
 	c.serving = make(chan struct{})
 	c.cmd = exec.Command(os.Args[0])
-	c.cmd.Env = []string{serves + "=" + strconv.Itoa(sockets), "BALANCER_CONFIG=" + c.config, "MILLETHINGE_OPERATOR=" + c.operator, "TMPDIR=" + c.t.TempDir()}
+	c.cmd.Env = append(c.env(), serves+"="+strconv.Itoa(c.sockets), "TMPDIR="+c.t.TempDir())
 	c.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := c.cmd.StderrPipe()
 	if err == nil {
@@ -178,7 +185,7 @@
 // players and callers with such that say nothing.
 func (c *child) idle() {
 	c.t.Helper()
-	for range sockets / 2 {
+	for range c.sockets / 2 {
 		for _, addr := range []string{c.players, c.call, c.viewers} {
 			conn, say, err := viewer(addr)
 			if err != nil {
@@ -194,6 +201,8 @@
 	}
 }
 
+const setUpLine = `{"type":"setup","id":"%016x","fields":{"class":"feed","left":"15000","key":"01","extras":"home:0;copies:1;top:3"},"sdp":"x"}` + "\n"
+
 // setUp has a new client set a session up. Where others rush in, its connection may be
 // closed before its request is read; then it goes again, as clients do.
 func (c *child) setUp(rush bool) {
@@ -204,7 +213,7 @@
 			c.t.Fatal(err)
 		}
 		c.ids++
-		got, err := say(fmt.Sprintf(`{"type":"setup","id":"%016x","fields":{"class":"feed","left":"15000","key":"01","extras":"home:0;copies:1;top:3"},"sdp":"x"}`, c.ids))
+		got, err := say(strings.TrimSpace(fmt.Sprintf(setUpLine, c.ids)))
 		conn.Close()
 		if err == nil && strings.Contains(got, `"answer"`) {
 			return
@@ -350,6 +359,97 @@
 	}
 }
 
+// counted is a listener that knows how many connections are open.
+type counted struct {
+	net.Listener
+	n atomic.Int32
+}
+
+type countedConn struct {
+	net.Conn
+	of *counted
+}
+
+func (l *counted) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	l.n.Add(1)
+	return countedConn{c, l}, err
+}
+
+func (c countedConn) Close() error {
+	c.of.n.Add(-1)
+	return c.Conn.Close()
+}
+
+// With all places for viewers, players, callers and nodes taken at once no descriptor is
+// wanted: the coordinator is followed elsewhere, the files are read again, and a new client
+// and a caller are answered.
+func TestAllPlacesAtOnce(t *testing.T) {
+	for _, n := range []int{64, 96, sockets, 256} {
+		t.Run(strconv.Itoa(n), func(t *testing.T) {
+			node, all := &counted{Listener: loopback(t)}, make(chan struct{})
+			go (&standin.Node{Bill: standin.NewBill(), Decide: func(id string, _ int) standin.Verdict {
+				if id != fmt.Sprintf("%016x", 1) { // the first one stands, so that no connection is given back
+					<-all
+				}
+				return standin.Verdict{Status: 200}
+			}}).Serve(node)
+			list := member("a", node.Addr().String(), "in_service")
+			k := watch(t, list)
+			k.news.Store(true) // so that it is ready
+			c := newChild(t, list)
+			c.sockets = n
+			c.write(k.Addr().String())
+			cfg, err := config.Load(func(key string) string {
+				for _, e := range c.env() {
+					if v, ok := strings.CutPrefix(e, key+"="); ok {
+						return v
+					}
+				}
+				return ""
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.start()
+			await(c, c.serving, "service")
+			for await(c, k.polls, "poll") != "2" {
+			}
+			c.setUp(false)
+			asks, _, err := viewer(c.viewers)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer asks.Close()
+			for range min(2*cfg.NodeConns(), peer.DefaultOpen) { // each takes a connection and keeps it, since its session stands
+				c.ids++
+				fmt.Fprintf(asks, setUpLine, c.ids)
+			}
+			for begun := time.Now(); int(node.n.Load()) < cfg.NodeConns(); time.Sleep(time.Millisecond) {
+				if time.Since(begun) > patience {
+					t.Fatalf("%d of %d connections to the node; it said:\n%s", node.n.Load(), cfg.NodeConns(), c.said())
+				}
+			}
+			close(all)
+			c.idle()
+			held, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", c.cmd.Process.Pid))
+			t.Logf("descriptors held: %d of %d; viewers' %d, nodes' %d, %v", len(held), n, cfg.ViewerConns(), cfg.NodeConns(), err)
+			k.leave()
+			back := watch(t, "")
+			c.write(back.Addr().String())
+			c.cmd.Process.Signal(syscall.SIGHUP)
+			await(c, back.polls, "poll elsewhere")
+			c.setUp(false)
+			if !c.isReady() {
+				t.Error("a caller is kept out")
+			}
+			if strings.Contains(c.said(), "too many open files") {
+				t.Errorf("want of descriptors:\n%.400s", c.said())
+			}
+		})
+	}
+}
+
 // Killed and started anew while the coordinator is silent, away or can't be reached, and
 // with clients coming at the same instant, the program serves and says that it is ready.
 func TestReadyWithoutCoordinator(t *testing.T) {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -49,9 +49,9 @@
 	Drain(ctx context.Context, on bool) error
 }
 
-// Serve answers calls on l until ctx ends.
-func Serve(ctx context.Context, l net.Listener, p Program, log *zap.Logger) error {
-	places := newPlaces(l)
+// Serve answers calls on l until ctx ends, of at most so many callers at once.
+func Serve(ctx context.Context, l net.Listener, most func() int, p Program, log *zap.Logger) error {
+	places := newPlaces(l, most)
 	s := &http.Server{
 		Handler: handler(p, log), ReadTimeout: wholeTime, WriteTimeout: wholeTime + answerTime,
 		MaxHeaderBytes: mostHeader, ErrorLog: zap.NewStdLog(log.WithOptions(zap.IncreaseLevel(zap.WarnLevel))),
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -34,6 +34,8 @@
 	return nil
 }
 
+func most() int { return 8 }
+
 func serve(t *testing.T) (*program, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -42,7 +44,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p, done := new(program), make(chan error)
-	go func() { done <- Serve(ctx, l, p, zap.NewNop()) }()
+	go func() { done <- Serve(ctx, l, most, p, zap.NewNop()) }()
 	t.Cleanup(func() {
 		cancel()
 		if err := <-done; err != nil {
@@ -101,7 +103,7 @@
 // connection.
 func TestCallersThatNeverFinish(t *testing.T) {
 	_, addr := serve(t)
-	for i := range 3 * mostPlaces {
+	for i := range 3 * most() {
 		c, err := net.Dial("tcp", addr)
 		if err != nil {
 			t.Fatal(err)
@@ -145,7 +147,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	p, taken := newPlaces(l), make(chan *place)
+	p, taken := newPlaces(l, most), make(chan *place)
 	go func() {
 		for {
 			c, err := p.Accept()
@@ -171,7 +173,7 @@
 		}
 	}
 	var all []*place
-	for i := range mostPlaces {
+	for i := range most() {
 		all = append(all, come())
 		if i == 0 {
 			all[0].whole.Store(true)
--- a/internal/admin/places.go
+++ b/internal/admin/places.go
@@ -7,22 +7,18 @@
 	"time"
 )
 
-const (
-	// mostPlaces is how many callers may be connected at once. Their descriptors are kept
-	// apart from those of viewers and nodes.
-	mostPlaces = 32
-	// graceTime is how long a caller keeps its place whatever comes: a whole call that is
-	// on its way is there by then.
-	graceTime = 50 * time.Millisecond
-)
+// graceTime is how long a caller keeps its place whatever comes: a whole call that is
+// on its way is there by then.
+const graceTime = 50 * time.Millisecond
 
 // places is a listener of few places. Guard: where all are taken, the caller that has
 // been connected for longest without a whole call gives way: those who say nothing lock
 // nobody out. One place is kept free ahead of who comes next. Those who come meanwhile wait in the kernel's queue for at most graceTime.
 type places struct {
 	net.Listener
-	mu  sync.Mutex
-	all []*place // the oldest first
+	most func() int // callers at once; their descriptors are kept apart from those of viewers and nodes
+	mu   sync.Mutex
+	all  []*place // the oldest first
 }
 
 // place is one caller's connection.
@@ -36,7 +32,7 @@
 
 type placeKey struct{}
 
-func newPlaces(l net.Listener) *places { return &places{Listener: l} }
+func newPlaces(l net.Listener, most func() int) *places { return &places{Listener: l, most: most} }
 
 func (p *places) Accept() (net.Conn, error) {
 	for {
@@ -64,7 +60,7 @@
 func (p *places) full() (out *place, wait time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.all) < mostPlaces {
+	if len(p.all) < p.most() {
 		return nil, 0
 	}
 	for _, o := range p.all {
@@ -78,8 +74,10 @@
 	return nil, time.Millisecond // each is being answered
 }
 
-func (c *place) Close() error {
+// Close frees the descriptor before its place.
+func (c *place) Close() (err error) {
 	c.once.Do(func() {
+		err = c.Conn.Close()
 		c.from.mu.Lock()
 		for i, o := range c.from.all {
 			if o == c {
@@ -89,5 +87,5 @@
 		}
 		c.from.mu.Unlock()
 	})
-	return c.Conn.Close()
+	return err
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -51,7 +51,19 @@
 	platformFile       = "the platform's configuration"
 	viewersPart        = 3 // viewers may hold one part in so many of the descriptors
 	descriptorsForSelf = 24
-	selfPart           = 8 // of the descriptors at most, where they are few
+	// ownDescriptors is what the program itself holds at most: standard input, output and
+	// error; the runtime's poller, 2, and its files of the control group, 2; three
+	// listeners; a viewer and a player accepted before there is a place; a connection to the
+	// coordinator and one to a DNS server; the mark of the process and a file of its folder;
+	// and a configuration that is read again.
+	ownDescriptors = 17
+	// mostMoments are for what libraries open for a moment, such as to find a host by its
+	// name: of those beyond the least, one in so many.
+	mostMoments      = 7
+	momentsPart      = 16
+	callersPart      = 8 // of the descriptors at most, where they are few
+	mostCallers      = 32
+	fleetDescriptors = 2 // sockets of the fleet's block
 	// mostTime is as long as any time is taken to be; a longer one could not be
 	// reckoned with.
 	mostTime = 30 * 24 * time.Hour
@@ -85,15 +97,34 @@
 }
 
 // ViewerConns is how many viewers' connections are accepted at once.
-func (c *Config) ViewerConns() int { return c.Sockets/viewersPart + c.self() }
+// Guard: where descriptors are few, nodes have two fifths of what is left for both.
+// Without a connection to a node nothing is ever served.
+func (c *Config) ViewerConns() int {
+	return min(c.Sockets/viewersPart+descriptorsForSelf, (c.Sockets-c.rest())*3/5)
+}
 
 // NodeConns is how many connections to media nodes may be open at once.
-func (c *Config) NodeConns() int { return c.Sockets - c.ViewerConns() - 2*c.self() }
+func (c *Config) NodeConns() int { return c.Sockets - c.rest() - c.ViewerConns() }
+
+// CallerConns is how many operators' calls are accepted at once.
+func (c *Config) CallerConns() int { return min(mostCallers, c.Sockets/callersPart) }
+
+// rest is what is kept beside viewers and nodes.
+func (c *Config) rest() int {
+	n := ownDescriptors + min(max(c.Sockets-leastSockets, 0)/momentsPart, mostMoments) + c.CallerConns()
+	if c.Operator.Fleet != nil {
+		n += fleetDescriptors
+	}
+	return n
+}
 
-// self is what the program needs beside, once for viewers' connections that are about to
-// close and twice for all else. Guard: as a fixed number it left no connection to a node
-// where descriptors are few, and nothing was ever served.
-func (c *Config) self() int { return min(descriptorsForSelf, c.Sockets/selfPart) }
+// Half is the configuration of each of two processes that share the descriptors. Guard:
+// half of the connections is too much, since each holds all that the program itself needs.
+func (c *Config) Half() *Config {
+	half := *c
+	half.Sockets /= 2
+	return &half
+}
 
 // Load reads the configuration of the environment that getenv tells.
 func Load(getenv func(string) string) (Config, error) {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -85,9 +85,14 @@
 func TestDescriptors(t *testing.T) {
 	for sockets := leastSockets; sockets < 3000; sockets++ {
 		c := Config{Sockets: sockets}
-		if v, n := c.ViewerConns(), c.NodeConns(); v < sockets/3 || n < sockets/4 || sockets-v-n < 2*min(sockets/8, descriptorsForSelf) {
+		if v, n := c.ViewerConns(), c.NodeConns(); v < sockets/3 || n < sockets/4 || sockets-v-n < max(2*min(sockets/8, descriptorsForSelf), ownDescriptors+c.CallerConns()) {
 			t.Fatalf("of %d descriptors viewers have %d and nodes %d", sockets, v, n)
 		}
+		half := c.Half()
+		v, n, k := half.ViewerConns(), half.NodeConns(), half.CallerConns()
+		if v < 2 || n < 2 || k < 2 || 2*(v+n+k+ownDescriptors) > sockets {
+			t.Fatalf("of %d descriptors each of two processes gives viewers %d, nodes %d and callers %d", sockets, v, n, k)
+		}
 	}
 }
 
--- a/internal/front/peer/ends_test.go
+++ b/internal/front/peer/ends_test.go
@@ -79,7 +79,7 @@
 // A room that another process gets half of gives its part up when the next one comes.
 func TestHalfRoom(t *testing.T) {
 	shared := false
-	r := &room{Limits: Limits{Most: 6, Shared: func() bool { return shared }}, all: map[*Conn]bool{}}
+	r := &room{Limits: Limits{Most: 6, Half: 3, Shared: func() bool { return shared }}, all: map[*Conn]bool{}}
 	for range 7 {
 		r.enter(at(wordTime))
 	}
--- a/internal/front/peer/peer.go
+++ b/internal/front/peer/peer.go
@@ -405,7 +405,8 @@
 // Limits is what one listener's connections may take up.
 type Limits struct {
 	Most   int         // connections at once
-	Shared func() bool // while it says so another process has half of them; nil: none ever has
+	Half   int         // of them while Shared says so
+	Shared func() bool // another process has its half of the descriptors; nil: none ever has
 	Open   int         // set-ups open on each; 0: DefaultOpen
 	Gate   Gate        // nil: clients are always taken
 }
@@ -414,7 +415,7 @@
 func (r *room) full() bool {
 	most := r.Most
 	if r.Shared != nil && r.Shared() {
-		most = (most + 1) / 2
+		most = r.Half
 	}
 	return len(r.all) >= most
 }
--- a/internal/media/pool.go
+++ b/internal/media/pool.go
@@ -33,7 +33,8 @@
 	StreamsPerConn int           // set-ups open on one connection
 	MaxConns       int           // connections to all nodes
 	NoProbes       bool          // nodes may not be tested
-	Shared         func() bool   // while it says so another process has half of them; nil: none ever has
+	HalfConns      int           // of them while Shared says so
+	Shared         func() bool   // another process has its half of the descriptors; nil: none ever has
 	Tried          func()        // told of each SETUP that is written whole; nil: nobody
 	Report         func(broker.Report)
 	Stood          func(time.Duration) // told when the program has stood still; Fresh is to follow; nil: nobody
@@ -55,7 +56,7 @@
 // most is how many connections may be open now.
 func (c *Config) most() int64 {
 	if c.Shared != nil && c.Shared() {
-		return int64(c.MaxConns+1) / 2
+		return int64(c.HalfConns)
 	}
 	return int64(c.MaxConns)
 }
--- a/internal/server/operation.go
+++ b/internal/server/operation.go
@@ -117,6 +117,14 @@
 // Shared tells whether another process has half of the descriptors.
 func (o *operation) Shared() bool { return o != nil && o.shared.Load() }
 
+// callers is how many may be connected at once.
+func (o *operation) callers() int {
+	if o.Shared() {
+		return o.cfg.Half().CallerConns()
+	}
+	return o.cfg.CallerConns()
+}
+
 // run answers calls and looks after the other process, until ctx ends.
 func (o *operation) run(ctx context.Context, l net.Listener) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -135,7 +143,7 @@
 	if o.folder != nil {
 		group.Go(func() error { return o.watch(ctx) })
 	}
-	group.Go(func() error { return admin.Serve(ctx, l, o, o.log) })
+	group.Go(func() error { return admin.Serve(ctx, l, o.callers, o, o.log) })
 	return group.Wait()
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -87,6 +87,7 @@
 	defer hand.close()
 	counts := hand.Counts()
 
+	half := cfg.Half()
 	// The broker and the nodes know each other; the broker does nothing before
 	// it runs, so its nodes may be made first.
 	var core *broker.Broker
@@ -94,7 +95,7 @@
 	pool := media.NewPool(ctx, group, media.Config{
 		Classes: cfg.Classes, Fields: cfg.Settings.Fields,
 		ConnectTimeout: cfg.ConnectTimeout, ConnIdle: cfg.ConnIdle,
-		StreamsPerConn: cfg.StreamsPerConn, MaxConns: cfg.NodeConns(),
+		StreamsPerConn: cfg.StreamsPerConn, MaxConns: cfg.NodeConns(), HalfConns: half.NodeConns(),
 		NoProbes: !cfg.Settings.Probes,
 		Shared:   hand.Shared, Tried: counts.Tried,
 		Report: func(r broker.Report) { core.Report(r) }, Log: log,
@@ -146,7 +147,7 @@
 	catalog.Routes = routes
 	front := &jsonl.Front{
 		Core: core, Catalog: catalog, Counts: counts, Reasons: cfg.Operator.Viewers.Reasons, Log: log,
-		Limits: peer.Limits{Most: cfg.ViewerConns(), Shared: hand.Shared, Open: cfg.Operator.Viewers.MostOpen, Gate: hand.Gate()},
+		Limits: peer.Limits{Most: cfg.ViewerConns(), Half: half.ViewerConns(), Shared: hand.Shared, Open: cfg.Operator.Viewers.MostOpen, Gate: hand.Gate()},
 	}
 	// The fronts end before what answers them: a set-up that was read last is answered.
 	serving, endFronts := context.WithCancel(ctx)
@@ -161,11 +162,11 @@
 	}
 	if w := cfg.Operator.WebSocket; w != nil {
 		// Both fronts share what viewers may hold of the descriptors.
-		front.Limits.Most = (cfg.ViewerConns() + 1) / 2
+		front.Limits.Most, front.Limits.Half = (cfg.ViewerConns()+1)/2, (half.ViewerConns()+1)/2
 		second := &websocket.Front{
 			Core: core, Catalog: catalog, Path: w.Path, Grace: w.Grace, Counts: counts, Limits: front.Limits, Log: log,
 		}
-		second.Limits.Most = cfg.ViewerConns() / 2
+		second.Limits.Most, second.Limits.Half = cfg.ViewerConns()/2, half.ViewerConns()/2
 		serve(second.Serve, at.Players)
 	}
 	group.Go(func() error { return core.Run(ctx) })
