Hand what stands over to exactly one heir; take no live process for a dead one

Cause: every process read the one file of what is handed over, so two younger ones took the same sessions, and two that handed over at once wrote over each other's. A mark that could not be opened (no descriptor left) counted as a dead one's and was removed. Once an older process had said its last word, what had ended here could be taken again from another's.

Change: a giver's file bears its birth and its heir's; the heir is who was chosen first while it serves, else the youngest. The file of a program that names no heir is still read. A process that leaves inherits until its own last word, since it no longer meets its own file. What was taken is noted for good. A half-written file of a process that was killed goes with the rest.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -74,7 +74,7 @@
 	leaving  bool      // what stands is left standing: a younger process takes it over
 	hand     func(Estate)
 	final    Estate                     // once drained is closed
-	taken    map[control.SessionID]bool // over from an older process, until its last word; they may have ended here
+	taken    map[control.SessionID]bool // over from older processes; they may have ended here
 	handed   map[control.SessionID]int  // by what cause sessions ended since they were handed over
 }
 
--- a/internal/broker/hand.go
+++ b/internal/broker/hand.go
@@ -70,6 +70,8 @@
 
 func (b *Broker) adopt(a adopt) {
 	now, taken := b.clock.now(), 0
+	// Guard: what was taken is noted for good. Another process's last word may name it when
+	// it has ended here.
 	if b.taken == nil {
 		b.taken = make(map[control.SessionID]bool)
 	}
@@ -99,9 +101,6 @@
 			b.over(s, control.Cancelled, nil)
 		}
 	}
-	if a.Last {
-		b.taken = nil
-	}
 	b.log.Info("sessions taken over", zap.Int("sessions", taken), zap.Int("over", len(a.Over)), zap.Bool("last", a.Last))
 }
 
--- a/internal/broker/hand_test.go
+++ b/internal/broker/hand_test.go
@@ -56,6 +56,10 @@
 	if got := g.take(); got != "teardown 2, over 2" || len(young.sessions) != 1 {
 		t.Errorf("%s; %d sessions", got, len(young.sessions))
 	}
+	young.handle(adopt{first, client}) // by another older one, which heard of no end
+	if got := g.take(); got != "" || len(young.sessions) != 1 {
+		t.Errorf("%s; %d sessions", got, len(young.sessions))
+	}
 	viewer := &fake{}
 	young.handle(Request{ID: 1, Class: feed, Team: -1, Playing: at1, Client: viewer})
 	young.handle(Report{Kind: Ended, Server: at1, ID: 1, Status: control.OK, Cause: CauseEnded})
--- a/internal/handover/process.go
+++ b/internal/handover/process.go
@@ -1,14 +1,20 @@
 package handover
 
 import (
+	"cmp"
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"millethinge/internal/broker"
 )
 
 const processPrefix = "process-"
@@ -60,7 +66,8 @@
 // Others are the other live processes of this manager.
 type Others struct {
 	Alive   int
-	Younger bool // one of them is younger and serves
+	Younger []int64 // when those were born that are younger and serve, the youngest first
+	Newest  int64   // when the youngest was born of all that are younger; 0: none is
 	// Alone: never more than one other was seen, so that the kernel's order of the
 	// sockets is known: the older one's comes first.
 	Alone bool
@@ -84,13 +91,32 @@
 			continue
 		}
 		o.Alive++
-		o.Younger = o.Younger || serves && born > p.born
+		if born > p.born {
+			o.Newest = max(o.Newest, born)
+			if serves {
+				o.Younger = append(o.Younger, born)
+			}
+		}
 	}
+	slices.SortFunc(o.Younger, func(a, b int64) int { return cmp.Compare(b, a) })
 	p.most = max(p.most, o.Alive)
 	o.Alone = p.most <= 1
 	return o, nil
 }
 
+// Heir is who takes over what stands: the one that was chosen last while it serves, else
+// the youngest, one that serves before one that starts; 0: nobody. Guard: two that take it would both tell the ends and both count
+// the sessions.
+func (o Others) Heir(last int64) int64 {
+	switch {
+	case slices.Contains(o.Younger, last):
+		return last
+	case len(o.Younger) > 0:
+		return o.Younger[0]
+	}
+	return o.Newest
+}
+
 // bornOf reads when a process was born from the name of its mark.
 func bornOf(name string) (int64, bool) {
 	rest, ok := strings.CutPrefix(name, processPrefix)
@@ -99,11 +125,35 @@
 	return n, ok && err == nil && !strings.HasSuffix(name, ".new")
 }
 
+// StoreEstate hands over to the process that was born at heir. Each giver has a file of its
+// own, and each file one heir, so that no two meet at one.
+func (p *Process) StoreEstate(e broker.Estate, heir int64) error {
+	return store(p.folder, fmt.Sprintf("%s-%d-%d", estateFile, p.born, heir), e)
+}
+
+// Estate reads what an older process hands over to this one, if it was not read before.
+func (p *Process) Estate() (e broker.Estate, changed bool, err error) {
+	files, err := filepath.Glob(filepath.Join(p.folder.path, fmt.Sprintf("%s-*-%d", estateFile, p.born)))
+	if err != nil {
+		return e, false, err
+	}
+	files = append(files, estateFile) // of a program that names no heir
+	for _, file := range files {
+		e, changed, bad := read[broker.Estate](p.folder, filepath.Base(file))
+		if changed {
+			return e, true, nil
+		}
+		err = cmp.Or(err, bad) // it costs its content, and no other's
+	}
+	return e, false, err
+}
+
 // look tells whether the process of a mark lives, and whether it serves.
 func look(path string) (alive, serves bool) {
 	f, err := os.Open(path)
 	if err != nil {
-		return false, false
+		// Guard: where no descriptor is left, nobody is taken for dead.
+		return !errors.Is(err, fs.ErrNotExist), false
 	}
 	defer f.Close()
 	if unix.Flock(int(f.Fd()), unix.LOCK_SH|unix.LOCK_NB) == nil {
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -15,7 +15,6 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/renameio/v2"
 
-	"millethinge/internal/broker"
 	"millethinge/internal/duty"
 )
 
@@ -144,17 +143,17 @@
 // Orders reads what was ordered by hand, if that has changed since it was last read.
 func (f *Folder) Orders() (s State, changed bool, err error) { return read[State](f, stateFile) }
 
-// Estate reads what an older process hands over, likewise.
-func (f *Folder) Estate() (e broker.Estate, changed bool, err error) {
-	return read[broker.Estate](f, estateFile)
-}
-
-// StoreOrders replaces the file of orders, and StoreEstate that of what is handed over.
-func (f *Folder) StoreOrders(s State) error         { return store(f, stateFile, s) }
-func (f *Folder) StoreEstate(e broker.Estate) error { return store(f, estateFile, e) }
+// StoreOrders replaces the file of orders.
+func (f *Folder) StoreOrders(s State) error { return store(f, stateFile, s) }
 
-// Forget takes away what an older process handed over: it is for the next one only.
-func (f *Folder) Forget() { os.Remove(filepath.Join(f.path, estateFile)) }
+// Forget takes away what older processes handed over, for their heirs only, and what one
+// that was killed left half written.
+func (f *Folder) Forget() {
+	files, _ := filepath.Glob(filepath.Join(f.path, "*"+estateFile+"*"))
+	for _, file := range files {
+		os.Remove(file)
+	}
+}
 
 func read[T any](f *Folder, name string) (v T, changed bool, err error) {
 	file := filepath.Join(f.path, name)
--- a/internal/handover/state_test.go
+++ b/internal/handover/state_test.go
@@ -70,16 +70,25 @@
 	}
 }
 
+func enter(t *testing.T, below string, at int64) *Process {
+	t.Helper()
+	p, err := folder(t, below, "n1").Enter(time.Unix(at, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
 // What is handed over comes as it was, and is seen once.
 func TestEstate(t *testing.T) {
 	below := t.TempDir()
-	old, young := folder(t, below, "n1"), folder(t, below, "n1")
+	old, young := enter(t, below, 1), enter(t, below, 2)
 	want := broker.Estate{Last: true, Over: map[control.SessionID]int{3: 41},
 		Standing: []broker.Standing{{ID: 1, Class: 1, Team: -1, Key: "7f", Title: 0x7f, Home: 2, Span: 3, MaxRung: 4, Server: 9, Rung: 2, Since: 5, Host: "127.0.0.9"}}}
 	if _, changed, err := young.Estate(); changed || err != nil {
 		t.Fatal("there is one before it was stored", err)
 	}
-	if err := old.StoreEstate(want); err != nil {
+	if err := old.StoreEstate(want, young.born); err != nil {
 		t.Fatal(err)
 	}
 	got, changed, err := young.Estate()
@@ -95,13 +104,7 @@
 // ended, is not counted, and its mark is swept away.
 func TestProcesses(t *testing.T) {
 	below := t.TempDir()
-	enter := func(at int64) *Process {
-		p, err := folder(t, below, "n1").Enter(time.Unix(at, 0))
-		if err != nil {
-			t.Fatal(err)
-		}
-		return p
-	}
+	enter := func(at int64) *Process { return enter(t, below, at) }
 	look := func(p *Process) Others {
 		o, err := p.Others()
 		if err != nil {
@@ -110,11 +113,11 @@
 		return o
 	}
 	a := enter(1)
-	if o := look(a); o.Alive != 0 || o.Younger {
+	if o := look(a); o.Alive != 0 || len(o.Younger) != 0 {
 		t.Fatalf("alone: %+v", o)
 	}
 	b := enter(2)
-	if o := look(a); o.Alive != 1 || o.Younger {
+	if o := look(a); o.Alive != 1 || len(o.Younger) != 0 {
 		t.Fatalf("the younger one does not serve yet: %+v", o)
 	}
 	if err := b.Serves(true); err != nil {
@@ -123,22 +126,34 @@
 	if err := a.Serves(true); err != nil {
 		t.Fatal(err)
 	}
-	if o := look(a); !o.Younger || !o.Alone {
+	if o := look(a); len(o.Younger) != 1 || !o.Alone {
 		t.Fatalf("it serves: %+v", o)
 	}
-	if o := look(b); o.Alive != 1 || o.Younger {
+	if o := look(b); o.Alive != 1 || len(o.Younger) != 0 {
 		t.Fatalf("the other one is older: %+v", o)
 	}
 	if err := b.Serves(false); err != nil {
 		t.Fatal(err)
 	}
-	if o := look(a); o.Alive != 1 || o.Younger {
+	if o := look(a); o.Alive != 1 || len(o.Younger) != 0 {
 		t.Fatalf("the younger one serves no more: %+v", o)
 	}
 	c := enter(3)
 	if o := look(a); o.Alive != 2 || o.Alone {
 		t.Fatalf("three: %+v", o)
 	}
+	// A mark that can't be looked at now, as where no descriptor is left, is not taken for a
+	// dead one's.
+	locked := filepath.Join(a.folder.path, processPrefix+"4-4")
+	if err := os.Symlink(locked, locked); err != nil {
+		t.Fatal(err)
+	}
+	if o := look(a); o.Alive != 3 || len(o.Younger) != 0 {
+		t.Errorf("one can't be looked at: %+v", o)
+	}
+	if err := os.Remove(locked); err != nil {
+		t.Error("a mark that can't be looked at is swept away")
+	}
 	c.file.Close() // as its process's end would
 	b.Leave()
 	if o := look(a); o.Alive != 0 || o.Alone {
--- a/internal/server/operation.go
+++ b/internal/server/operation.go
@@ -51,8 +51,8 @@
 	mu    sync.Mutex
 	state handover.State // what was ordered
 	left  bool           // a younger process takes over
-	gives bool           // it hands over, and inherits no more
-	final bool           // it has handed over all
+	heir  int64          // which one: when it was born
+	final bool           // it has handed over all, and inherits no more
 }
 
 // newOperation returns nil where nothing is run by hand.
@@ -251,17 +251,19 @@
 func (o *operation) inherit() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.gives {
+	if o.final {
 		return
 	}
-	e, changed, err := o.folder.Estate()
-	if err != nil {
-		trouble(o.log, err)
-	}
-	if !changed {
-		return
+	for {
+		e, changed, err := o.self.Estate()
+		if err != nil {
+			trouble(o.log, err)
+		}
+		if !changed {
+			return
+		}
+		o.core.Adopt(e, o.front.Viewer)
 	}
-	o.core.Adopt(e, o.front.Viewer)
 }
 
 // Hand returns what takes what stands once a younger process takes over; nil where none
@@ -286,8 +288,12 @@
 	if o.folder == nil || o.final {
 		return
 	}
-	o.gives, o.final = true, e.Last
-	if err := o.folder.StoreEstate(e); err != nil {
+	o.final = e.Last
+	// Guard: the heir may have ended, or may end itself, since it was chosen.
+	if others, err := o.self.Others(); err == nil {
+		o.heir = others.Heir(o.heir)
+	}
+	if err := o.self.StoreEstate(e, o.heir); err != nil {
 		trouble(o.log, err)
 	}
 }
@@ -338,9 +344,12 @@
 	o.ended.Store(true)
 	o.mark()
 	others := o.look()
-	if !others.Younger {
+	if len(others.Younger) == 0 {
 		return false
 	}
+	if n := len(others.Younger); n > 1 {
+		o.log.Info("several younger processes serve; the youngest takes over what stands", zap.Int("serve", n), zap.Int64("born", others.Younger[0]))
+	}
 	for _, l := range listeners {
 		if l == nil || !others.Alone {
 			continue
--- a/internal/server/signal_test.go
+++ b/internal/server/signal_test.go
@@ -1,7 +1,9 @@
 package server
 
 import (
+	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -9,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"millethinge/internal/broker"
 	"millethinge/internal/config"
 	"millethinge/internal/handover"
 )
@@ -59,7 +62,7 @@
 		for _, do := range e.steps {
 			do(o)
 		}
-		if others, err := old.Others(); err != nil || others.Alive != 1 || others.Younger != e.want {
+		if others, err := old.Others(); err != nil || others.Alive != 1 || (len(others.Younger) == 1) != e.want {
 			t.Errorf("%s: %+v, %v", name, others, err)
 		}
 		o.close()
@@ -68,6 +71,50 @@
 
 func ends(o *operation) { o.leave([]net.Listener(nil)...) }
 
+// What stands has one heir, also where several younger processes serve, the heir ends
+// before the last word, or two hand over at once.
+func TestOneHeir(t *testing.T) {
+	cfg := config.Config{Name: "n1", Listen: "127.0.0.1:0", Admin: "127.0.0.1:0", Temp: t.TempDir(), MemoryMB: 1 << 20}
+	var all [4]*operation
+	for i := range all {
+		all[i] = newOperation(&cfg, zap.NewNop())
+		defer all[i].close()
+	}
+	hand := func(from, n int, last bool) {
+		all[from].bequeath(broker.Estate{Standing: make([]broker.Standing, n), Last: last})
+	}
+	got := func(want string) {
+		t.Helper()
+		var took []string
+		for i, o := range all {
+			for e, changed, err := o.self.Estate(); changed || err != nil; e, changed, err = o.self.Estate() {
+				took = append(took, fmt.Sprint(i, " takes ", len(e.Standing)))
+			}
+		}
+		if have := strings.Join(took, ", "); have != want {
+			t.Errorf("%s; want %s", have, want)
+		}
+	}
+	all[0].serves()
+	all[1].serves()
+	all[2].serves()
+	ends(all[0])
+	hand(0, 1, false)
+	got("2 takes 1") // not 1 as well
+	all[3].serves()
+	ends(all[1])
+	hand(1, 2, false)
+	hand(0, 3, true)
+	got("2 takes 3, 3 takes 2") // 2 has been the heir of 0, and serves
+	ends(all[2])
+	hand(1, 4, true)
+	hand(2, 5, false)
+	got("3 takes 4, 3 takes 5")
+	all[3].close()
+	hand(2, 6, true)
+	got("") // nobody is there
+}
+
 // The watch and a signal may look for other processes at once (for the race detector).
 func TestLooksAtOnce(t *testing.T) {
 	cfg := config.Config{Name: "n1", Listen: "127.0.0.1:0", Admin: "127.0.0.1:0", Temp: t.TempDir(), MemoryMB: 1 << 20}
