Know an early end for as long as another process may hand its session over

Cause: an end of a session that is not known here was kept for 5 s, while the older process may live beside the younger one for longer before it hands over: what it then named stood for good. Change: while another process lives the time does not run, for up to 1,024 ends a node. TestEarlyEnd fails without it (no end is told).

--- a/internal/media/ends_test.go
+++ b/internal/media/ends_test.go
@@ -309,3 +309,25 @@
 		t.Error("no connection is opened that was begun after it")
 	}
 }
+
+// An end that comes before its session is named is known while another process may hand
+// the session over, and for keepEarly after that.
+func TestEarlyEnd(t *testing.T) {
+	for _, shared := range []bool{false, true} {
+		n, c, _, reports := bed(t)
+		n.dialling, n.conns = true, []*conn{c}
+		n.pool.cfg.Shared = func() bool { return shared }
+		n.handle(heard{c, message{kind: ended, id: 1, cause: broker.CauseEnded}})
+		now := time.Now()
+		n.look(now.Add(3 * keepEarly))
+		before := shared
+		shared = false
+		n.look(now.Add(4*keepEarly - tickTime))
+		n.handle(stands{1})
+		if before {
+			status(t, reports, control.OK)
+		} else if status(t, reports); n.standing[1] == nil {
+			t.Error("an end is known for good")
+		}
+	}
+}
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -572,7 +572,10 @@
 		}
 	}
 	for id, e := range n.early {
-		if now.After(e.until) {
+		// Guard: the process that hands the session over may live on for long.
+		if n.pool.cfg.shared() && len(n.early) <= boxLimit {
+			n.early[id] = early{e.cause, now.Add(keepEarly)}
+		} else if now.After(e.until) {
 			delete(n.early, id)
 		}
 	}
--- a/internal/media/pool.go
+++ b/internal/media/pool.go
@@ -53,9 +53,11 @@
 	nodes map[control.Server]*node
 }
 
+func (c *Config) shared() bool { return c.Shared != nil && c.Shared() }
+
 // most is how many connections may be open now.
 func (c *Config) most() int64 {
-	if c.Shared != nil && c.Shared() {
+	if c.shared() {
 		return int64(c.HalfConns)
 	}
 	return int64(c.MaxConns)
