Give each error of handing over its code; three real processes at an upgrade

A file that could not be written (no room, folder gone) was told without a code and without what to do: it is handover-no-folder now. A process's mark holds its byte from the start, so that it can say that it serves on a disk that is full later.

TestThreeProcesses: an older one and the one between end at once, the youngest alone takes what stands, and it is cut by nobody before the last one ends.

--- a/cmd/millethinge/process_test.go
+++ b/cmd/millethinge/process_test.go
@@ -61,6 +61,7 @@
 	config, operator       string
 	members                string
 	sockets                int
+	temp                   string
 	cmd                    *exec.Cmd
 	serving                chan struct{}
 	ids                    int
@@ -92,7 +93,7 @@
 }
 
 func newChild(t *testing.T, members string) *child {
-	c := &child{t: t, sockets: sockets, viewers: free(t), players: free(t), call: free(t), members: members, config: filepath.Join(t.TempDir(), "config")}
+	c := &child{t: t, sockets: sockets, temp: t.TempDir(), viewers: free(t), players: free(t), call: free(t), members: members, config: filepath.Join(t.TempDir(), "config")}
 	c.operator = written(t, "operator.conf", "websocket {\n listen "+c.players+"\n}\n")
 	t.Cleanup(c.kill)
 	return c
@@ -118,7 +119,7 @@
 	c.t.Helper()
 	c.serving = make(chan struct{})
 	c.cmd = exec.Command(os.Args[0])
-	c.cmd.Env = append(c.env(), serves+"="+strconv.Itoa(c.sockets), "TMPDIR="+c.t.TempDir())
+	c.cmd.Env = append(c.env(), serves+"="+strconv.Itoa(c.sockets), "TMPDIR="+c.temp, "BALANCER_ADMIN="+c.call)
 	c.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := c.cmd.StderrPipe()
 	if err == nil {
@@ -514,3 +515,49 @@
 	await(c, c.serving, "service")
 	await(c, k.polls, "poll")
 }
+
+// Three processes of one manager: of two younger ones one takes what stands, also where
+// an older one and the one between end at the same time, and what stands is cut by nobody.
+func TestThreeProcesses(t *testing.T) {
+	node, bill := loopback(t), standin.NewBill()
+	go (&standin.Node{Bill: bill, Decide: func(string, int) standin.Verdict { return standin.Verdict{Status: 200} }}).Serve(node)
+	list := member("a", node.Addr().String(), "in_service")
+	k := watch(t, list)
+	k.news.Store(true)
+	var all [3]*child
+	for i := range all {
+		c := newChild(t, list)
+		if i > 0 {
+			c.viewers, c.players, c.operator, c.temp = all[0].viewers, all[0].players, all[0].operator, all[0].temp
+		}
+		c.write(k.Addr().String())
+		c.start()
+		await(c, c.serving, "service")
+		for begun := time.Now(); !c.isReady(); time.Sleep(time.Millisecond) {
+			if time.Since(begun) > patience {
+				t.Fatalf("%d is never ready; it said:\n%s", i, c.said())
+			}
+		}
+		if all[i] = c; i == 0 {
+			c.setUp(false)
+		}
+	}
+	for _, c := range all[:2] {
+		c.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	for i, want := range []int{0, 0, 1} {
+		c := all[i]
+		if i == 2 {
+			c.cmd.Process.Signal(syscall.SIGTERM)
+		}
+		c.cmd.Wait()
+		if got := strings.Count(c.said(), `"sessions taken over","name":"n0","sessions":1`); got != want {
+			t.Errorf("%d takes it %d times; it said:\n%s", i, got, c.said())
+		}
+		bill.Read(func(b *standin.Bill) {
+			if b.Ended["0000000000000001"] != want {
+				t.Errorf("after the end of %d it is cut %d times", i, b.Ended["0000000000000001"])
+			}
+		})
+	}
+}
--- a/internal/handover/process.go
+++ b/internal/handover/process.go
@@ -31,19 +31,24 @@
 // Enter marks this process as starting.
 func (f *Folder) Enter(now time.Time) (*Process, error) {
 	p := &Process{folder: f, born: now.UnixNano()}
+	// Guard: the mark's one byte is there from the start. Where the disk is full later, it can
+	// be changed still.
 	name := filepath.Join(f.path, fmt.Sprintf("%s%d-%d", processPrefix, p.born, os.Getpid()))
 	// Guard: it gets its name when it is locked. Nobody takes it for a dead one's.
 	file, err := os.OpenFile(name+".new", os.O_CREATE|os.O_RDWR|os.O_EXCL, 0o600)
 	if err == nil {
 		err = unix.Flock(int(file.Fd()), unix.LOCK_EX|unix.LOCK_NB)
 	}
+	if err == nil {
+		p.file = file
+		err = p.Serves(false)
+	}
 	if err == nil {
 		err = os.Rename(name+".new", name)
 	}
 	if err != nil {
 		return nil, &NoFolder{Path: f.path, Err: err}
 	}
-	p.file = file
 	return p, nil
 }
 
@@ -53,8 +58,10 @@
 	if yes {
 		mark = '+'
 	}
-	_, err := p.file.WriteAt([]byte{mark}, 0)
-	return err
+	if _, err := p.file.WriteAt([]byte{mark}, 0); err != nil {
+		return &NoFolder{Path: p.folder.path, Err: err}
+	}
+	return nil
 }
 
 // Leave takes the mark away.
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -127,7 +127,7 @@
 	return f, nil
 }
 
-// NoFolder tells that nothing can be handed over.
+// NoFolder tells that nothing can be handed over: there is no folder, or no room in it.
 type NoFolder struct {
 	Path string
 	Err  error
@@ -187,5 +187,8 @@
 	if err != nil {
 		return err
 	}
-	return renameio.WriteFile(filepath.Join(f.path, name), b, 0o600, renameio.WithTempDir(f.path))
+	if err := renameio.WriteFile(filepath.Join(f.path, name), b, 0o600, renameio.WithTempDir(f.path)); err != nil {
+		return &NoFolder{Path: f.path, Err: err}
+	}
+	return nil
 }
--- a/internal/server/signal_test.go
+++ b/internal/server/signal_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -10,6 +12,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"millethinge/internal/broker"
 	"millethinge/internal/config"
@@ -71,6 +74,45 @@
 
 func ends(o *operation) { o.leave([]net.Listener(nil)...) }
 
+// A folder that can't be used costs what would be handed over, is told with its code, and
+// nothing else.
+func TestNoRoomToHandOver(t *testing.T) {
+	for name, spoil := range map[string]func(temp string) error{
+		"no folder from the start": nil,
+		"it goes meanwhile":        os.RemoveAll,
+		"no file can be replaced": func(temp string) error {
+			return os.MkdirAll(filepath.Join(temp, "orders", "x"), 0o700)
+		},
+	} {
+		core, told := observer.New(zap.WarnLevel)
+		cfg := config.Config{Name: "n1", Listen: "127.0.0.1:0", Admin: "127.0.0.1:0", Temp: t.TempDir(), MemoryMB: 1 << 20}
+		if spoil == nil {
+			cfg.Temp = filepath.Join(cfg.Temp, "file")
+			os.WriteFile(cfg.Temp, nil, 0o600)
+		}
+		o := newOperation(&cfg, zap.New(core))
+		if spoil != nil {
+			folders, _ := filepath.Glob(filepath.Join(cfg.Temp, "*"))
+			if err := spoil(folders[0]); err != nil {
+				t.Fatal(err)
+			}
+		}
+		o.serves()
+		if err := o.Drain(t.Context(), true); err != nil || o.Gate().Takes() || !o.Ready() || o.leave() {
+			t.Error(name, "an order does not count:", err)
+		}
+		o.bequeath(broker.Estate{})
+		o.close()
+		codes := map[any]int{}
+		for _, line := range told.All() {
+			codes[line.ContextMap()["code"]]++
+		}
+		if codes["handover-no-folder"] == 0 || codes[nil] > 0 {
+			t.Errorf("%s: %v", name, codes)
+		}
+	}
+}
+
 // What stands has one heir, also where several younger processes serve, the heir ends
 // before the last word, or two hand over at once.
 func TestOneHeir(t *testing.T) {
