--- a/internal/handover/process.go
+++ b/internal/handover/process.go
@@ -112,8 +112,8 @@
 }
 
 // Heir is who takes over what stands: the one that was chosen last while it serves, else
-// the youngest, one that serves before one that starts; 0: nobody. Guard: two that take it would both tell the ends and both count
-// the sessions.
+// the youngest, one that serves before one that starts; 0: nobody. Guard: two that take it
+// would both tell the ends and both count the sessions.
 func (o Others) Heir(last int64) int64 {
 	switch {
 	case slices.Contains(o.Younger, last):
@@ -140,13 +140,18 @@
 
 // Estate reads what an older process hands over to this one, if it was not read before.
 func (p *Process) Estate() (e broker.Estate, changed bool, err error) {
-	files, err := filepath.Glob(filepath.Join(p.folder.path, fmt.Sprintf("%s-*-%d", estateFile, p.born)))
+	entries, err := os.ReadDir(p.folder.path)
 	if err != nil {
-		return e, false, err
+		return e, false, nil // Others tells
 	}
-	files = append(files, estateFile) // of a program that names no heir
-	for _, file := range files {
-		e, changed, bad := read[broker.Estate](p.folder, filepath.Base(file))
+	mine := fmt.Sprintf("-%d", p.born)
+	for _, entry := range entries {
+		name := entry.Name()
+		// One of a program that names no heir is for whoever sees it.
+		if name != estateFile && !(strings.HasPrefix(name, estateFile+"-") && strings.HasSuffix(name, mine)) {
+			continue
+		}
+		e, changed, bad := read[broker.Estate](p.folder, name)
 		if changed {
 			return e, true, nil
 		}
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -10,6 +10,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -149,9 +150,11 @@
 // Forget takes away what older processes handed over, for their heirs only, and what one
 // that was killed left half written.
 func (f *Folder) Forget() {
-	files, _ := filepath.Glob(filepath.Join(f.path, "*"+estateFile+"*"))
-	for _, file := range files {
-		os.Remove(file)
+	entries, _ := os.ReadDir(f.path)
+	for _, e := range entries {
+		if strings.HasPrefix(strings.TrimPrefix(e.Name(), "."), estateFile) {
+			os.Remove(filepath.Join(f.path, e.Name()))
+		}
 	}
 }
 
--- a/internal/handover/state_test.go
+++ b/internal/handover/state_test.go
@@ -98,6 +98,13 @@
 	if _, changed, _ := young.Estate(); changed {
 		t.Error("it is handed over twice")
 	}
+	if err := os.WriteFile(filepath.Join(old.folder.path, ".estate-1-25"), nil, 0o600); err != nil { // half written
+		t.Fatal(err)
+	}
+	young.folder.Forget()
+	if left, _ := filepath.Glob(filepath.Join(old.folder.path, "*estate*")); len(left) > 0 {
+		t.Errorf("files that are left: %v", left)
+	}
 }
 
 // Two processes know of each other and which is the younger; one that is gone, however it
