--- a/internal/handover/process.go
+++ b/internal/handover/process.go
@@ -1,14 +1,20 @@
 package handover
 
 import (
+	"cmp"
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"millethinge/internal/broker"
 )
 
 const processPrefix = "process-"
@@ -25,19 +31,24 @@
 // Enter marks this process as starting.
 func (f *Folder) Enter(now time.Time) (*Process, error) {
 	p := &Process{folder: f, born: now.UnixNano()}
+	// Guard: the mark's one byte is there from the start. Where the disk is full later, it can
+	// be changed still.
 	name := filepath.Join(f.path, fmt.Sprintf("%s%d-%d", processPrefix, p.born, os.Getpid()))
 	// Guard: it gets its name when it is locked. Nobody takes it for a dead one's.
 	file, err := os.OpenFile(name+".new", os.O_CREATE|os.O_RDWR|os.O_EXCL, 0o600)
 	if err == nil {
 		err = unix.Flock(int(file.Fd()), unix.LOCK_EX|unix.LOCK_NB)
 	}
+	if err == nil {
+		p.file = file
+		err = p.Serves(false)
+	}
 	if err == nil {
 		err = os.Rename(name+".new", name)
 	}
 	if err != nil {
 		return nil, &NoFolder{Path: f.path, Err: err}
 	}
-	p.file = file
 	return p, nil
 }
 
@@ -47,8 +58,10 @@
 	if yes {
 		mark = '+'
 	}
-	_, err := p.file.WriteAt([]byte{mark}, 0)
-	return err
+	if _, err := p.file.WriteAt([]byte{mark}, 0); err != nil {
+		return &NoFolder{Path: p.folder.path, Err: err}
+	}
+	return nil
 }
 
 // Leave takes the mark away.
@@ -60,7 +73,8 @@
 // Others are the other live processes of this manager.
 type Others struct {
 	Alive   int
-	Younger bool // one of them is younger and serves
+	Younger []int64 // when those were born that are younger and serve, the youngest first
+	Newest  int64   // when the youngest was born of all that are younger; 0: none is
 	// Alone: never more than one other was seen, so that the kernel's order of the
 	// sockets is known: the older one's comes first.
 	Alone bool
@@ -84,13 +98,32 @@
 			continue
 		}
 		o.Alive++
-		o.Younger = o.Younger || serves && born > p.born
+		if born > p.born {
+			o.Newest = max(o.Newest, born)
+			if serves {
+				o.Younger = append(o.Younger, born)
+			}
+		}
 	}
+	slices.SortFunc(o.Younger, func(a, b int64) int { return cmp.Compare(b, a) })
 	p.most = max(p.most, o.Alive)
 	o.Alone = p.most <= 1
 	return o, nil
 }
 
+// Heir is who takes over what stands: the one that was chosen last while it serves, else
+// the youngest, one that serves before one that starts; 0: nobody. Guard: two that take it
+// would both tell the ends and both count the sessions.
+func (o Others) Heir(last int64) int64 {
+	switch {
+	case slices.Contains(o.Younger, last):
+		return last
+	case len(o.Younger) > 0:
+		return o.Younger[0]
+	}
+	return o.Newest
+}
+
 // bornOf reads when a process was born from the name of its mark.
 func bornOf(name string) (int64, bool) {
 	rest, ok := strings.CutPrefix(name, processPrefix)
@@ -99,11 +132,40 @@
 	return n, ok && err == nil && !strings.HasSuffix(name, ".new")
 }
 
+// StoreEstate hands over to the process that was born at heir. Each giver has a file of its
+// own, and each file one heir, so that no two meet at one.
+func (p *Process) StoreEstate(e broker.Estate, heir int64) error {
+	return store(p.folder, fmt.Sprintf("%s-%d-%d", estateFile, p.born, heir), e)
+}
+
+// Estate reads what an older process hands over to this one, if it was not read before.
+func (p *Process) Estate() (e broker.Estate, changed bool, err error) {
+	entries, err := os.ReadDir(p.folder.path)
+	if err != nil {
+		return e, false, nil // Others tells
+	}
+	mine := fmt.Sprintf("-%d", p.born)
+	for _, entry := range entries {
+		name := entry.Name()
+		// One of a program that names no heir is for whoever sees it.
+		if name != estateFile && !(strings.HasPrefix(name, estateFile+"-") && strings.HasSuffix(name, mine)) {
+			continue
+		}
+		e, changed, bad := read[broker.Estate](p.folder, name)
+		if changed {
+			return e, true, nil
+		}
+		err = cmp.Or(err, bad) // it costs its content, and no other's
+	}
+	return e, false, err
+}
+
 // look tells whether the process of a mark lives, and whether it serves.
 func look(path string) (alive, serves bool) {
 	f, err := os.Open(path)
 	if err != nil {
-		return false, false
+		// Guard: where no descriptor is left, nobody is taken for dead.
+		return !errors.Is(err, fs.ErrNotExist), false
 	}
 	defer f.Close()
 	if unix.Flock(int(f.Fd()), unix.LOCK_SH|unix.LOCK_NB) == nil {
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -10,12 +10,12 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/renameio/v2"
 
-	"millethinge/internal/broker"
 	"millethinge/internal/duty"
 )
 
@@ -128,7 +128,7 @@
 	return f, nil
 }
 
-// NoFolder tells that nothing can be handed over.
+// NoFolder tells that nothing can be handed over: there is no folder, or no room in it.
 type NoFolder struct {
 	Path string
 	Err  error
@@ -144,17 +144,19 @@
 // Orders reads what was ordered by hand, if that has changed since it was last read.
 func (f *Folder) Orders() (s State, changed bool, err error) { return read[State](f, stateFile) }
 
-// Estate reads what an older process hands over, likewise.
-func (f *Folder) Estate() (e broker.Estate, changed bool, err error) {
-	return read[broker.Estate](f, estateFile)
-}
-
-// StoreOrders replaces the file of orders, and StoreEstate that of what is handed over.
-func (f *Folder) StoreOrders(s State) error         { return store(f, stateFile, s) }
-func (f *Folder) StoreEstate(e broker.Estate) error { return store(f, estateFile, e) }
+// StoreOrders replaces the file of orders.
+func (f *Folder) StoreOrders(s State) error { return store(f, stateFile, s) }
 
-// Forget takes away what an older process handed over: it is for the next one only.
-func (f *Folder) Forget() { os.Remove(filepath.Join(f.path, estateFile)) }
+// Forget takes away what older processes handed over, for their heirs only, and what one
+// that was killed left half written.
+func (f *Folder) Forget() {
+	entries, _ := os.ReadDir(f.path)
+	for _, e := range entries {
+		if strings.HasPrefix(strings.TrimPrefix(e.Name(), "."), estateFile) {
+			os.Remove(filepath.Join(f.path, e.Name()))
+		}
+	}
+}
 
 func read[T any](f *Folder, name string) (v T, changed bool, err error) {
 	file := filepath.Join(f.path, name)
@@ -188,5 +190,8 @@
 	if err != nil {
 		return err
 	}
-	return renameio.WriteFile(filepath.Join(f.path, name), b, 0o600, renameio.WithTempDir(f.path))
+	if err := renameio.WriteFile(filepath.Join(f.path, name), b, 0o600, renameio.WithTempDir(f.path)); err != nil {
+		return &NoFolder{Path: f.path, Err: err}
+	}
+	return nil
 }
