Read what a node receives on any of its connections in the exchange 'standing'

Seen on a scratch copy: the last TEARDOWN was written on a second connection to the node, and the exchange read the first alone. A second one is right: the program looks at a node with sessions that was silent for 2 s, and for ends that may have gone down before a session was named.

--- a/internal/server/exchange_test.go
+++ b/internal/server/exchange_test.go
@@ -117,8 +117,9 @@
 // coordinator. In node's, player's and coordinator's bytes | is a line end; * in
 // what is received stands for digits. "w1+ text" and "w1- text" are text frames;
 // "v1 close" closes, "v1 eof" waits for
-// the program to close, "a open" waits for a connection. {a} is node a's address;
-// l is a second coordinator.
+// the program to close, "a open" waits for a connection; "a*< bytes" is what node a
+// receives next on that one or on any that opens. {a} is node a's address; l is a second
+// coordinator.
 func TestExchanges(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	if err != nil || len(files) == 0 {
@@ -180,7 +181,12 @@
 			actors[word] = accept(t, servers[word])
 		default:
 			name, way := word[:len(word)-1], word[len(word)-1]
+			name, any := strings.CutSuffix(name, "*")
 			a := actors[name]
+			if any {
+				a = a.any(t, servers[name])
+				defer a.Close()
+			}
 			if a == nil {
 				a = enter(t, name, p, servers)
 				actors[name] = a
@@ -219,6 +225,30 @@
 	return &actor{c, bufio.NewReader(c)}
 }
 
+// any is a part that reads what comes on a, or on a connection that opens, by whichever
+// is first. The program may look at a node by a new connection at any time.
+func (a *actor) any(t *testing.T, l net.Listener) *actor {
+	r, w := io.Pipe()
+	pass := func(from io.Reader) {
+		if b, err := readHead(bufio.NewReader(from)); err == nil {
+			w.Write(b)
+		}
+	}
+	go pass(a.in)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return // the test is over
+			}
+			t.Cleanup(func() { c.Close() })
+			go pass(c)
+		}
+	}()
+	time.AfterFunc(patience, func() { w.CloseWithError(os.ErrDeadlineExceeded) })
+	return &actor{a.Conn, bufio.NewReader(r)}
+}
+
 var escapes = regexp.MustCompile(`\\x[0-9a-f]{2}`)
 
 func unescape(s string) []byte {
