End a gone or restarted node's set-ups with its sessions, at the list's word

Cause: on 'off the list' and on a newer up_since_ms the actor ended what stood and left set-ups out. A 200 behind the word in the mailbox made a session that stands at a node that is gone; where another process answers at the address by then, its viewer was served and never told of the end. After a stand of the program a 200 of the old process, handled late, counted as the new one's either way round. Set-ups waiting for a slow dial waited on at a node that drained.

Change: lost() ends set-ups written before the next process came, too; a session counts from when its SETUP was written, not from when its 200 was read; idle connections of the old process are closed; a list change ends what may not be sent any more at once; a gone member without an address clears none.

--- a/internal/media/media_test.go
+++ b/internal/media/media_test.go
@@ -31,7 +31,7 @@
 		Classes: []string{"clip"}, ConnIdle: time.Hour, StreamsPerConn: 4, MaxConns: 9,
 		Report: func(r broker.Report) { *reports = append(*reports, r) }, Log: zap.NewNop(),
 	})
-	n = newNode(p, directory.Member{Entry: control.Entry{Server: 7}, Addr: "127.0.0.1:1"})
+	n = newNode(p, directory.Member{Entry: control.Entry{Server: 7}})
 	n.state.Store(int32(control.Ready))
 	near, far := net.Pipe()
 	t.Cleanup(func() { near.Close(); far.Close() })
@@ -206,6 +206,67 @@
 	status(t, reports)
 }
 
+// What a process that is gone had said may lie in the mailbox before the list's word or
+// behind it. Either way no session stands by it, whoever answers at the address by then,
+// and each set-up ends once.
+func TestAnswerCrossesTheList(t *testing.T) {
+	for name, lose := range map[string]func(n *node, up time.Time){
+		"off the list": func(n *node, _ time.Time) {
+			n.state.Store(int32(control.Gone))
+			n.handle(listChange{})
+		},
+		"restarted": func(n *node, up time.Time) { n.handle(listChange{directory.Member{Up: up}}) },
+	} {
+		for order, steps := range map[string]string{
+			"answer first": "al", "answer behind": "la", "answer and close first": "acl", "close before, answer between": "alc",
+			"no answer": "l", "end behind its answer": "lae", "end between": "ale", "no answer, close first": "cl",
+		} {
+			t.Run(name+"/"+order, func(t *testing.T) {
+				n, _, _, reports := bed(t)
+				n.pool.cfg.MaxConns = 0 // the script dials
+				c := stub()
+				n.conns = []*conn{c}
+				n.handle(try(1))
+				up := time.Now() // of the next process; what follows is handled late
+				for _, step := range steps {
+					switch step {
+					case 'a':
+						n.handle(heard{c, message{kind: answered, id: 1, status: 200}})
+					case 'e':
+						n.handle(heard{c, message{kind: ended, id: 1, cause: broker.CauseEnded}})
+					case 'c':
+						n.handle(closed{c, syscall.ECONNRESET})
+					case 'l':
+						lose(n, up)
+					}
+				}
+				if !strings.Contains(steps, "c") {
+					n.handle(closed{c, net.ErrClosed})
+				}
+				if name == "off the list" {
+					status(t, reports, control.Reset) // and not by a dial that is under way
+				}
+				if n.dialling {
+					n.handle(dialled{conn: stub()}) // another process has the address
+				}
+				status(t, reports, control.Reset)
+				if len(n.standing)+len(n.attempts)+len(n.doubted) != 0 {
+					t.Errorf("%d stand, %d out, %d doubted", len(n.standing), len(n.attempts), len(n.doubted))
+				}
+			})
+		}
+	}
+	// What only waits for a connection ends at once, whatever becomes of the dial.
+	for _, state := range []control.State{control.Gone, control.Draining} {
+		n, _, _, reports := bed(t)
+		n.dialling = true
+		n.handle(try(1))
+		n.state.Store(int32(state))
+		n.handle(listChange{})
+		status(t, reports, control.Moot)
+	}
+}
+
 func TestUnderstand(t *testing.T) {
 	for text, want := range map[string]message{
 		"RTSP/1.0 200 OK\r\nCSeq: 3\r\nSession: 0a\r\nLink-State: x1:1.5;load_share:0.25\r\nContent-Length: 0\r\n\r\n":           {kind: tested, id: 10, status: 200, load: []float64{0.25, 1.5}},
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -97,7 +97,7 @@
 type stand struct {
 	conn *conn     // of its set-up; nil: closed
 	lone time.Time // since when it has none; the zero time: it has one
-	at   time.Time
+	at   time.Time // when its set-up was written, by whose process it is told from a later one's
 }
 
 // given is a set-up that was given up, known until a time for a late answer.
@@ -406,7 +406,8 @@
 	why := fmt.Sprint("no connection: ", err)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED) && len(n.conns) == 0: // no process is there
-		n.lost(why)
+		n.lost(why, time.Now())
+		clear(n.owed)
 	case time.Since(n.heardAt) > lostTime:
 		n.retryAt = time.Now().Add(retryTime)
 		// The node may hold its sessions still: it is told when it can be.
@@ -422,11 +423,24 @@
 	}
 }
 
-// lost ends what stood at a node whose process is gone.
-func (n *node) lost(why string) {
-	n.cut(why, time.Now())
-	clear(n.owed)
-	n.closeAll()
+// lost ends what was begun at a process that is gone, by when the next one came.
+//
+// Guard: what the old one said may lie in the mailbox still. A 200 would be taken for a
+// session that stands, and nobody says its end where another process answers by now.
+func (n *node) lost(why string, next time.Time) {
+	n.cut(why, next)
+	for _, c := range n.conns {
+		if c.touched.Before(next) {
+			n.close(c)
+		}
+	}
+	for _, a := range n.attempts {
+		if a.conn != nil && a.sent.Before(next) {
+			n.drop(a)
+			n.giveAway(a)
+			n.broken(a, n.listed() != control.Gone)
+		}
+	}
 }
 
 func (n *node) closeAll() {
@@ -622,15 +636,19 @@
 }
 
 func (n *node) listChanged(m listChange) {
-	if n.listed() == control.Gone {
-		n.lost("off the list")
-		return
-	}
-	if m.member.Up.After(n.up) {
+	switch {
+	case n.listed() == control.Gone:
+		n.lost("off the list", time.Now())
+		n.judge(false)
+		clear(n.owed)
+	case m.member.Up.After(n.up):
 		n.up = m.member.Up
-		n.cut("restarted", n.up)
+		n.lost("restarted", n.up)
+	}
+	if m.member.State != control.Gone { // else it may have none
+		n.addr = m.member.Addr
 	}
-	n.addr = m.member.Addr
+	n.sendWaiting() // or ends them, where the node takes nothing new
 }
 
 // Attempts and sessions.
@@ -902,7 +920,7 @@
 	}
 	n.drop(a)
 	if m.status == 200 {
-		n.standing[m.id] = &stand{conn: m.conn, at: time.Now()}
+		n.standing[m.id] = &stand{conn: m.conn, at: a.sent}
 		n.report(broker.Report{Kind: broker.Started, ID: m.id, Number: a.Number, Load: m.load, Description: m.description})
 		return
 	}
