Send nothing on a connection that came up at an address the list has left

Cause: a dial that was under way when the list named another address for the node was taken for the node's; what waited went to whoever has the old address.

Change: the dial tells where it led; one that leads elsewhere by now is closed and made anew. TestAddressChangesUnderADial, seen failing without.

--- a/internal/media/media_test.go
+++ b/internal/media/media_test.go
@@ -458,6 +458,28 @@
 	p.group.Wait()
 }
 
+// A connection that was begun to where a node was leads to whoever has that address by now:
+// what waits goes where the list says. A gone member may have no address.
+func TestAddressChangesUnderADial(t *testing.T) {
+	n, _, _, reports := bed(t)
+	n.pool.cfg.MaxConns = 0 // the script dials
+	n.addr, n.dialling = "old:1", true
+	n.handle(try(1))
+	n.handle(listChange{directory.Member{Entry: control.Entry{State: control.Gone}}}) // and at once:
+	n.handle(listChange{directory.Member{Addr: "new:1"}})
+	there, here := stub(), stub()
+	n.handle(dialled{conn: there, addr: "old:1"})
+	if there.open != 0 || len(n.conns) != 0 || !n.dialling {
+		t.Errorf("%d set-ups went to the old address; dialling: %v", there.open, n.dialling)
+	}
+	n.handle(listChange{directory.Member{Entry: control.Entry{State: control.Gone}}}) // old news
+	n.handle(dialled{conn: here, addr: "new:1"})
+	if here.open != 1 {
+		t.Error("the set-up does not go to the new address")
+	}
+	status(t, reports)
+}
+
 // A node that was cut off and comes back is told to end what was given up.
 func TestNodeComesBack(t *testing.T) {
 	n, c, far, _ := bed(t)
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -287,7 +287,7 @@
 		c := &conn{Conn: nc, touched: time.Now()}
 		// The actor may have ended by now, and would not close it.
 		defer context.AfterFunc(n.pool.ctx, func() { nc.Close() })()
-		n.box.Force(dialled{conn: c, breaks: breaks})
+		n.box.Force(dialled{conn: c, addr: addr, breaks: breaks})
 		// Reading waits for nothing: the actor has been told of c before.
 		err = c.read(n.pool.cfg.Fields, func(m message) bool { return n.box.Put(heard{c, m}) })
 		c.Close()
@@ -303,6 +303,12 @@
 		n.dialFailed(m.err)
 		return
 	}
+	if m.addr != n.addr {
+		// Guard: the list names another address by now, and this one may be another node's.
+		n.close(m.conn)
+		n.connect()
+		return
+	}
 	n.heardAt, n.tries, n.retryAt = time.Now(), 0, time.Time{}
 	n.conns = append(n.conns, m.conn)
 	if n.covered < m.breaks {
--- a/internal/media/pool.go
+++ b/internal/media/pool.go
@@ -213,6 +213,7 @@
 	dialled    struct {
 		conn   *conn
 		err    error
+		addr   string
 		breaks int // node.breaks when it was begun
 	}
 	closed struct {
