Read a connection to its end where a write on it fails

Cause: a write on what the node had closed had the actor close it, too, with what lay there unread: a 453 or 454 behind which the node closed became a reset (a paid session failed that may be refused or sent on), a 200 a session that nobody owns.

TestWordAndCloseInOnePacket: 9 words x closed in order or reset x read or write first, over loopback; 453, 454 and 200 with the write first seen failing without.

--- a/internal/media/media_test.go
+++ b/internal/media/media_test.go
@@ -503,22 +503,79 @@
 	}
 }
 
-// A connection that is retired is still read: a release may cross its end.
-func TestRetiredConnectionIsStillRead(t *testing.T) {
+// pair is both ends of a connection.
+func pair(t *testing.T) (near, far net.Conn) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	near, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
+	if near, err = net.Dial("tcp", l.Addr().String()); err != nil {
 		t.Fatal(err)
 	}
-	defer near.Close()
-	far, err := l.Accept()
-	if err != nil {
+	t.Cleanup(func() { near.Close() })
+	if far, err = l.Accept(); err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { far.Close() })
+	return near, far
+}
+
+// What a node said in the same packet as its close, in order or by a reset, counts, also
+// where the actor hears of the close first, by a write that fails.
+func TestWordAndCloseInOnePacket(t *testing.T) {
+	const ok = "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 01\r\nContent-Length: 0\r\n\r\n"
+	const end = "TEARDOWN rtsp://media/a RTSP/1.0\r\nSession: 01\r\nReason: cause=16\r\nContent-Length: 0\r\n\r\n"
+	for text, e := range map[string]struct {
+		want   []control.Status
+		stands int
+	}{
+		strings.Replace(ok, "200", "453", 1): {want: []control.Status{control.Full}},
+		strings.Replace(ok, "200", "454", 1): {want: []control.Status{control.Moot}},
+		ok:                                   {stands: 1},
+		ok + ok:                              {stands: 1}, // a second answer does nothing
+		ok + end:                             {want: []control.Status{control.OK}},
+		end + ok:                             {want: []control.Status{control.Reset}}, // as a set-up that broke
+		ok + end[:40]:                        {stands: 1},
+		ok[:40]:                              {want: []control.Status{control.Reset}},
+		"\x00" + ok + end:                    {want: []control.Status{control.Reset}},
+	} {
+		for _, reset := range []bool{false, true} {
+			for _, first := range []string{"read", "write"} {
+				n, _, _, reports := bed(t)
+				n.pool.cfg.MaxConns = 0 // the script dials
+				near, far := pair(t)
+				c := &conn{Conn: near, touched: time.Now()}
+				n.conns = []*conn{c}
+				n.handle(try(1))
+				if _, err := io.ReadAtLeast(far, make([]byte, 4096), 1); err != nil {
+					t.Fatal(err)
+				}
+				io.WriteString(far, text)
+				if reset {
+					far.(*net.TCPConn).SetLinger(0)
+				}
+				far.Close()
+				for first == "write" && !c.dead {
+					n.handle(probe{})
+				}
+				n.handle(closed{c, c.read(nil, func(m message) bool { n.handle(heard{c, m}); return true })})
+				if n.dialling {
+					n.handle(dialled{conn: stub()})
+				}
+				status(t, reports, e.want...)
+				if len(n.standing) != e.stands || t.Failed() {
+					t.Fatalf("%q, reset %v, %s first: %d stand", text, reset, first, len(n.standing))
+				}
+			}
+		}
+	}
+}
+
+// A connection that is retired is still read: a release may cross its end.
+func TestRetiredConnectionIsStillRead(t *testing.T) {
+	near, far := pair(t)
 	n, _, _, _ := bed(t)
 	for range mostConns {
 		n.conns = append(n.conns, &conn{Conn: near, touched: time.Now()})
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -422,7 +422,7 @@
 			n.owed[id] = owed{broker.CauseCut, until}
 		}
 		n.cut(why, time.Now())
-		n.closeAll()
+		n.closeAll(time.Now())
 	}
 	if again && n.missing() {
 		n.connect()
@@ -435,11 +435,7 @@
 // session that stands, and nobody says its end where another process answers by now.
 func (n *node) lost(why string, next time.Time) {
 	n.cut(why, next)
-	for _, c := range n.conns {
-		if c.touched.Before(next) {
-			n.close(c)
-		}
-	}
+	n.closeAll(next)
 	for _, a := range n.attempts {
 		if a.conn != nil && a.sent.Before(next) {
 			n.drop(a)
@@ -449,9 +445,12 @@
 	}
 }
 
-func (n *node) closeAll() {
+// closeAll closes what has carried nothing since a time.
+func (n *node) closeAll(since time.Time) {
 	for _, c := range n.conns {
-		n.close(c)
+		if c.touched.Before(since) {
+			n.close(c)
+		}
 	}
 }
 
@@ -484,6 +483,19 @@
 	c.Close()
 }
 
+// unwritable takes a connection on which a write failed.
+//
+// Guard: what the node has closed it closed behind its last words, such as a 453 or a 200.
+// They are read to the end. Only where it reads nothing the close has to tell it.
+func (n *node) unwritable(c *conn, err error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		n.close(c)
+		return
+	}
+	n.broke(c)
+	c.dead, c.closeAt = true, time.Now().Add(suspectTime)
+}
+
 // broke counts a connection that ends otherwise than by the node's own close, if
 // it may take along what the node said last.
 //
@@ -701,7 +713,7 @@
 			}
 			return
 		}
-		n.close(c)
+		n.unwritable(c, err)
 		if sent > 0 { // a part has left: it may have run
 			n.drop(a)
 			n.broken(a, false)
@@ -759,7 +771,7 @@
 func (n *node) write(c *conn, b []byte) bool {
 	n.buf = b
 	if _, err := c.write(b); err != nil {
-		n.close(c)
+		n.unwritable(c, err)
 		return false
 	}
 	return true
