Tear a late 200 down also where its connection has closed behind it

Cause: the TEARDOWN to a 200 that came after its set-up was given up was written on the 200's own connection alone; where the node had closed that, none was written anywhere, and the session stood at the node with nobody to end it.

Change: it is released like any session that stands: on another connection, or on the next that opens. TestGiveUp, both cases seen failing without.

--- a/internal/media/media_test.go
+++ b/internal/media/media_test.go
@@ -178,6 +178,29 @@
 	n.handle(try(3))
 	n.handle(giveUp{3, 1, true}) // not a byte has left: a paid session may go on
 	status(t, reports, control.TimedOut, control.ConnectFailed)
+	// Where the late 200's connection has closed behind it, another one takes the TEARDOWN,
+	// or the next that opens.
+	for name, spare := range map[string]bool{"another": true, "the next": false} {
+		n, _, _, _ := bed(t)
+		n.pool.cfg.MaxConns = 0 // the script dials
+		c, wrote := stub(), new(writes)
+		other := &conn{Conn: wrote, touched: time.Now()}
+		n.conns = []*conn{c}
+		n.handle(try(1))
+		n.handle(giveUp{1, 1, true})
+		if spare {
+			n.conns = append(n.conns, other)
+		}
+		c.Conn = failing{}
+		n.handle(heard{c, message{kind: answered, id: 1, status: 200}})
+		n.handle(closed{c, io.EOF})
+		if !spare {
+			n.handle(dialled{conn: other})
+		}
+		if !strings.HasPrefix(string(wrote.b), "TEARDOWN") || len(n.standing)+len(n.owed) != 0 {
+			t.Errorf("%s wrote %q", name, wrote.b)
+		}
+	}
 }
 
 // A node that can't be reached for some seconds has lost what stood there, and
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -777,7 +777,7 @@
 	return true
 }
 
-// release ends a session that stands, on any connection.
+// release ends a session that stands, on any connection or the next that opens.
 func (n *node) release(m release) {
 	s := n.standing[m.id]
 	if s == nil {
@@ -932,7 +932,8 @@
 		if _, given := n.given[m.id]; given && m.status == 200 {
 			// Guard: a late 200 to a set-up that was given up is torn down. A second
 			// copy of an answer, or one to an id never asked for, does nothing.
-			n.tearDown(m.conn, m.id, 0)
+			n.standing[m.id] = &stand{conn: m.conn}
+			n.release(release{m.id, 0})
 		}
 		return
 	}
