Let what waits for a connection take a place that comes free meanwhile

Cause: a set-up that found its node's connections full waited for a new one, also where an answer made room; where the dial was slow it lost up to the connect timeout, where it never came up an attempt.

Change: while a dial is under way each word of the node has what waits looked at. TestPlaceComesFreeUnderADial, seen failing without. The end under a dial now also checks that no descriptor stays counted.

--- a/internal/media/media_test.go
+++ b/internal/media/media_test.go
@@ -639,6 +639,9 @@
 	<-n.box.Ready() // dialled, and nobody takes it
 	cancel()
 	n.pool.group.Wait()
+	if got := n.pool.conns.Load(); got != 0 {
+		t.Errorf("%d connections are counted", got)
+	}
 }
 
 // Whatever a node sends, figures that can't be reckoned with go no further.
@@ -711,6 +714,24 @@
 	}
 }
 
+// What waits for a connection takes a place that comes free meanwhile: the dial may be slow,
+// or never come up.
+func TestPlaceComesFreeUnderADial(t *testing.T) {
+	n, _, _, reports := bed(t)
+	c := stub()
+	n.conns, n.dialling = []*conn{c}, true
+	last := control.SessionID(n.pool.cfg.StreamsPerConn + 1)
+	for id := range last {
+		n.handle(try(id + 1))
+	}
+	n.handle(heard{c, message{kind: answered, id: 1, status: 200}})
+	if n.attempts[last].conn != c {
+		t.Error("it waits on")
+	}
+	n.handle(dialled{err: syscall.ETIMEDOUT})
+	status(t, reports)
+}
+
 // Where the settings allow no probes none is written, whoever asks: the module hears that
 // it never left, and a connection that may be mute is taken for it after a test's time.
 func TestNoProbes(t *testing.T) {
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -877,6 +877,9 @@
 	case noted:
 		n.report(broker.Report{Kind: broker.Noted, ID: m.id, Note: m.note, Value: m.value})
 	}
+	if n.dialling { // what waits may have a place by now
+		n.sendWaiting()
+	}
 }
 
 // settle clears the suspicion of set-ups that a word is known to be later than.
