--- a/internal/media/media_test.go
+++ b/internal/media/media_test.go
@@ -741,8 +741,8 @@
 	n.pool.cfg.NoProbes = true
 	n.conns = []*conn{c}
 	n.pool.nodes[n.server] = n
-	n.handle(stands{1})
 	n.dialling = true
+	n.handle(stands{1})
 	n.handle(try(2))
 	n.handle(giveUp{2, 1, false}) // cancelled, without a word since it was written
 	for _, later := range []time.Duration{2 * suspectTime, silentTime + time.Second} {
