Take a node's address from the list when it is used, not from the mailbox

Cause: the address lay in the actor, behind a mailbox; after one answer that names a node gone, its address another's and itself elsewhere, a dial or a connection of before carried what waited to the other node; a gone member without an address had the next dial go nowhere.

Change: the actor's copy is gone. TestListTellsAllAtOnce takes the place of TestAddressChangesUnderADial and asks for the same and more; seen failing without each of: the look at the address, the close of old connections, set-ups ended with the process. TestGiveUp: a node that reads nothing is closed at once.

--- a/internal/media/media_test.go
+++ b/internal/media/media_test.go
@@ -201,6 +201,14 @@
 			t.Errorf("%s wrote %q", name, wrote.b)
 		}
 	}
+	// Where the node reads nothing, the close says it.
+	n, c, far, _ = bed(t)
+	n.conns, n.dialling = []*conn{c}, true
+	n.handle(try(1))
+	far.SetReadDeadline(time.Now())
+	if _, err := far.Read(make([]byte, 1)); err != io.EOF {
+		t.Error("not closed at once:", err)
+	}
 }
 
 // A node that can't be reached for some seconds has lost what stood there, and
@@ -273,8 +281,9 @@
 					n.handle(dialled{conn: stub()}) // another process has the address
 				}
 				status(t, reports, control.Reset)
-				if len(n.standing)+len(n.attempts)+len(n.doubted) != 0 {
-					t.Errorf("%d stand, %d out, %d doubted", len(n.standing), len(n.attempts), len(n.doubted))
+				last := (*reports)[len(*reports)-1] // only of a set-up: is the node there?
+				if len(n.standing)+len(n.attempts)+len(n.doubted) != 0 || last.Cause == 0 && last.Confined != (name == "restarted") {
+					t.Errorf("%d stand, %d out, %d doubted; %+v", len(n.standing), len(n.attempts), len(n.doubted), last)
 				}
 			})
 		}
@@ -481,26 +490,46 @@
 	p.group.Wait()
 }
 
-// A connection that was begun to where a node was leads to whoever has that address by now:
-// what waits goes where the list says. A gone member may have no address.
-func TestAddressChangesUnderADial(t *testing.T) {
-	n, _, _, reports := bed(t)
-	n.pool.cfg.MaxConns = 0 // the script dials
-	n.addr, n.dialling = "old:1", true
-	n.handle(try(1))
-	n.handle(listChange{directory.Member{Entry: control.Entry{State: control.Gone}}}) // and at once:
-	n.handle(listChange{directory.Member{Addr: "new:1"}})
-	there, here := stub(), stub()
-	n.handle(dialled{conn: there, addr: "old:1"})
-	if there.open != 0 || len(n.conns) != 0 || !n.dialling {
-		t.Errorf("%d set-ups went to the old address; dialling: %v", there.open, n.dialling)
-	}
-	n.handle(listChange{directory.Member{Entry: control.Entry{State: control.Gone}}}) // old news
-	n.handle(dialled{conn: here, addr: "new:1"})
-	if here.open != 1 {
-		t.Error("the set-up does not go to the new address")
+// A list that was silent tells at once that a node has gone, that another has its address
+// and that it runs again elsewhere: what it had is lost, what it has since stays, and what
+// waits goes to the new place, whatever the actor has seen of it.
+func TestListTellsAllAtOnce(t *testing.T) {
+	for name, seen := range map[string]int{"nothing": 0, "that it is gone": 1, "all": 2} {
+		n, _, _, reports := bed(t)
+		n.pool.cfg.MaxConns = 0 // the script dials
+		n.pool.nodes[n.server] = n
+		told := func(s control.Server, state control.State, addr string, up time.Time) {
+			n.pool.Apply(directory.Change{Members: []directory.Member{{Entry: control.Entry{Server: s, State: state}, Addr: addr, Up: up}}})
+		}
+		n.member.Addr = "old:1"
+		c := stub()
+		n.conns = []*conn{c}
+		n.handle(try(1))
+		n.handle(try(2))
+		n.handle(heard{c, message{kind: answered, id: 2, status: 200}})
+		up := time.Now()
+		told(7, control.Gone, "", time.Time{})
+		told(8, control.Ready, "old:1", time.Time{})
+		told(7, control.Ready, "new:1", up)
+		all := n.box.Take(nil)
+		for _, m := range all[:seen] {
+			n.handle(m)
+		}
+		since := stub() // to the process that runs now
+		n.conns = append(n.conns, since)
+		since.open, c.open = n.pool.cfg.StreamsPerConn, n.pool.cfg.StreamsPerConn
+		n.handle(try(3)) // which the broker sent in between
+		there := &conn{Conn: stubConn{}, touched: time.Now()}
+		n.handle(dialled{conn: there, addr: "old:1"}) // another node's by now
+		for _, m := range all[seen:] {
+			n.handle(m)
+		}
+		n.handle(dialled{conn: stub(), addr: "new:1"})
+		status(t, reports, control.Reset, control.Reset)
+		if a := n.attempts[3]; a == nil || a.conn != n.conns[len(n.conns)-1] || there.used || since.dead || len(n.standing) != 0 {
+			t.Errorf("seen %s: %+v, %d stand; used there: %v, closed here: %v", name, a, len(n.standing), there.used, since.dead)
+		}
 	}
-	status(t, reports)
 }
 
 // A node that was cut off and comes back is told to end what was given up.
@@ -629,7 +658,7 @@
 	defer l.Close()
 	n, _, _, _ := bed(t)
 	ctx, cancel := context.WithCancel(t.Context())
-	n.pool.ctx, n.addr = ctx, l.Addr().String()
+	n.pool.ctx, n.member.Addr = ctx, l.Addr().String()
 	n.connect()
 	far, err := l.Accept()
 	if err != nil {
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -59,7 +59,6 @@
 	member directory.Member // as the list last said; the pool's, under its lock
 	server control.Server
 	id     string
-	addr   string
 	up     time.Time
 	state  atomic.Int32 // control.State, as the list last said
 	box    *box
@@ -128,7 +127,7 @@
 
 func newNode(p *Pool, m directory.Member) *node {
 	return &node{
-		pool: p, member: m, server: m.Server, id: m.ID, addr: m.Addr, up: m.Up,
+		pool: p, member: m, server: m.Server, id: m.ID, up: m.Up,
 		box:      mailbox.New[any](boxLimit),
 		attempts: make(map[control.SessionID]*attempt),
 		given:    make(map[control.SessionID]given),
@@ -175,6 +174,14 @@
 	return n.listed() == control.Gone && len(n.attempts)+len(n.doubted)+len(n.standing)+len(n.owed) == 0 && !n.dialling
 }
 
+// addr is where the list says that it is: at once, as its state binds. One that is gone
+// may have none.
+func (n *node) addr() string {
+	n.pool.mu.RLock()
+	defer n.pool.mu.RUnlock()
+	return n.member.Addr
+}
+
 func (n *node) listed() control.State { return control.State(n.state.Load()) }
 
 func (n *node) handle(m any) {
@@ -276,7 +283,7 @@
 		n.box.Force(dialled{err: errNoRoom})
 		return
 	}
-	addr, timeout, breaks := n.addr, n.pool.cfg.ConnectTimeout, n.breaks
+	addr, timeout, breaks := n.addr(), n.pool.cfg.ConnectTimeout, n.breaks
 	n.pool.group.Go(func() error {
 		nc, err := (&net.Dialer{Timeout: timeout}).DialContext(n.pool.ctx, "tcp", addr)
 		if err != nil {
@@ -303,7 +310,7 @@
 		n.dialFailed(m.err)
 		return
 	}
-	if m.addr != n.addr {
+	if m.addr != n.addr() {
 		// Guard: the list names another address by now, and this one may be another node's.
 		n.close(m.conn)
 		n.connect()
@@ -663,9 +670,6 @@
 		n.up = m.member.Up
 		n.lost("restarted", n.up)
 	}
-	if m.member.State != control.Gone { // else it may have none
-		n.addr = m.member.Addr
-	}
 	n.sendWaiting() // or ends them, where the node takes nothing new
 }
 
