Let a 453 behind the list's word still tell that a set-up never ran

Cause: the first mend ended set-ups at the list's word, so a refusal that lay behind it counted as a reset, and a paid session failed that may be sent on.

Change: set-ups end with their connection, behind all that was said on it, as before; only a 200 from a process that is gone by the list is taken as a reset. TestAnswerCrossesTheList, two orders more: 'never ran' behind the word seen failing with the first mend; each half of the new condition taken away is told by it.

--- a/internal/media/media_test.go
+++ b/internal/media/media_test.go
@@ -250,7 +250,7 @@
 	} {
 		for order, steps := range map[string]string{
 			"answer first": "al", "answer behind": "la", "answer and close first": "acl", "close before, answer between": "alc",
-			"no answer": "l", "end behind its answer": "lae", "end between": "ale", "no answer, close first": "cl",
+			"never ran": "lf", "never ran, said first": "fl", "no answer": "l", "end behind its answer": "lae", "end between": "ale", "no answer, close first": "cl",
 		} {
 			t.Run(name+"/"+order, func(t *testing.T) {
 				n, _, _, reports := bed(t)
@@ -263,6 +263,8 @@
 					switch step {
 					case 'a':
 						n.handle(heard{c, message{kind: answered, id: 1, status: 200}})
+					case 'f':
+						n.handle(heard{c, message{kind: answered, id: 1, status: 453}})
 					case 'e':
 						n.handle(heard{c, message{kind: ended, id: 1, cause: broker.CauseEnded}})
 					case 'c':
@@ -274,15 +276,19 @@
 				if !strings.Contains(steps, "c") {
 					n.handle(closed{c, net.ErrClosed})
 				}
+				want := control.Reset
+				if strings.Contains(steps, "f") {
+					want = control.Full
+				}
 				if name == "off the list" {
-					status(t, reports, control.Reset) // and not by a dial that is under way
+					status(t, reports, want) // and not by a dial that is under way
 				}
 				if n.dialling {
 					n.handle(dialled{conn: stub()}) // another process has the address
 				}
-				status(t, reports, control.Reset)
+				status(t, reports, want)
 				last := (*reports)[len(*reports)-1] // only of a set-up: is the node there?
-				if len(n.standing)+len(n.attempts)+len(n.doubted) != 0 || last.Cause == 0 && last.Confined != (name == "restarted") {
+				if len(n.standing)+len(n.attempts)+len(n.doubted) != 0 || last.Cause == 0 && last.Confined != (want == control.Reset && name == "restarted") {
 					t.Errorf("%d stand, %d out, %d doubted; %+v", len(n.standing), len(n.attempts), len(n.doubted), last)
 				}
 			})
@@ -524,6 +530,10 @@
 		for _, m := range all[seen:] {
 			n.handle(m)
 		}
+		if !c.dead {
+			t.Error("a connection to the process that is gone stays")
+		}
+		n.handle(closed{c, net.ErrClosed})
 		n.handle(dialled{conn: stub(), addr: "new:1"})
 		status(t, reports, control.Reset, control.Reset)
 		if a := n.attempts[3]; a == nil || a.conn != n.conns[len(n.conns)-1] || there.used || since.dead || len(n.standing) != 0 {
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -436,20 +436,11 @@
 	}
 }
 
-// lost ends what was begun at a process that is gone, by when the next one came.
-//
-// Guard: what the old one said may lie in the mailbox still. A 200 would be taken for a
-// session that stands, and nobody says its end where another process answers by now.
+// lost ends what stood at a process that is gone, by when the next one came. What is open
+// ends with its connection, behind what was said on it.
 func (n *node) lost(why string, next time.Time) {
 	n.cut(why, next)
 	n.closeAll(next)
-	for _, a := range n.attempts {
-		if a.conn != nil && a.sent.Before(next) {
-			n.drop(a)
-			n.giveAway(a)
-			n.broken(a, n.listed() != control.Gone)
-		}
-	}
 }
 
 // closeAll closes what has carried nothing since a time.
@@ -945,6 +936,12 @@
 		return
 	}
 	n.drop(a)
+	if there := n.listed() != control.Gone; m.status == 200 && (!there || a.sent.Before(n.up)) {
+		// Guard: it lay behind the word that its process is gone. Nobody would say the
+		// session's end where another process answers by now.
+		n.broken(a, there)
+		return
+	}
 	if m.status == 200 {
 		n.standing[m.id] = &stand{conn: m.conn, at: a.sent}
 		n.report(broker.Report{Kind: broker.Started, ID: m.id, Number: a.Number, Load: m.load, Description: m.description})
