--- a/internal/media/media_test.go
+++ b/internal/media/media_test.go
@@ -32,7 +32,7 @@
 		Classes: []string{"clip"}, ConnIdle: time.Hour, StreamsPerConn: 4, MaxConns: 9, DrainGrace: time.Second,
 		Report: func(r broker.Report) { *reports = append(*reports, r) }, Log: zap.NewNop(),
 	})
-	n = newNode(p, directory.Member{Entry: control.Entry{Server: 7}, Addr: "127.0.0.1:1"})
+	n = newNode(p, directory.Member{Entry: control.Entry{Server: 7}})
 	n.state.Store(int32(control.Ready))
 	near, far := net.Pipe()
 	t.Cleanup(func() { near.Close(); far.Close() })
@@ -179,6 +179,37 @@
 	n.handle(try(3))
 	n.handle(giveUp{3, 1, true}) // not a byte has left: a paid session may go on
 	status(t, reports, control.TimedOut, control.ConnectFailed)
+	// Where the late 200's connection has closed behind it, another one takes the TEARDOWN,
+	// or the next that opens.
+	for name, spare := range map[string]bool{"another": true, "the next": false} {
+		n, _, _, _ := bed(t)
+		n.pool.cfg.MaxConns = 0 // the script dials
+		c, wrote := stub(), new(writes)
+		other := &conn{Conn: wrote, touched: time.Now()}
+		n.conns = []*conn{c}
+		n.handle(try(1))
+		n.handle(giveUp{1, 1, true})
+		if spare {
+			n.conns = append(n.conns, other)
+		}
+		c.Conn = failing{}
+		n.handle(heard{c, message{kind: answered, id: 1, status: 200}})
+		n.handle(closed{c, io.EOF})
+		if !spare {
+			n.handle(dialled{conn: other})
+		}
+		if !strings.HasPrefix(string(wrote.b), "TEARDOWN") || len(n.standing)+len(n.owed) != 0 {
+			t.Errorf("%s wrote %q", name, wrote.b)
+		}
+	}
+	// Where the node reads nothing, the close says it.
+	n, c, far, _ = bed(t)
+	n.conns, n.dialling = []*conn{c}, true
+	n.handle(try(1))
+	far.SetReadDeadline(time.Now())
+	if _, err := far.Read(make([]byte, 1)); err != io.EOF {
+		t.Error("not closed at once:", err)
+	}
 }
 
 // A node that can't be reached for some seconds has lost what stood there, and
@@ -207,6 +238,74 @@
 	status(t, reports)
 }
 
+// What a process that is gone had said may lie in the mailbox before the list's word or
+// behind it. Either way no session stands by it, whoever answers at the address by then,
+// and each set-up ends once.
+func TestAnswerCrossesTheList(t *testing.T) {
+	for name, lose := range map[string]func(n *node, up time.Time){
+		"off the list": func(n *node, _ time.Time) {
+			n.state.Store(int32(control.Gone))
+			n.handle(listChange{})
+		},
+		"restarted": func(n *node, up time.Time) { n.handle(listChange{directory.Member{Up: up}}) },
+	} {
+		for order, steps := range map[string]string{
+			"answer first": "al", "answer behind": "la", "answer and close first": "acl", "close before, answer between": "alc",
+			"never ran": "lf", "never ran, said first": "fl", "no answer": "l", "end behind its answer": "lae", "end between": "ale", "no answer, close first": "cl",
+		} {
+			t.Run(name+"/"+order, func(t *testing.T) {
+				n, _, _, reports := bed(t)
+				n.pool.cfg.MaxConns = 0 // the script dials
+				c := stub()
+				n.conns = []*conn{c}
+				n.handle(try(1))
+				up := time.Now() // of the next process; what follows is handled late
+				for _, step := range steps {
+					switch step {
+					case 'a':
+						n.handle(heard{c, message{kind: answered, id: 1, status: 200}})
+					case 'f':
+						n.handle(heard{c, message{kind: answered, id: 1, status: 453}})
+					case 'e':
+						n.handle(heard{c, message{kind: ended, id: 1, cause: broker.CauseEnded}})
+					case 'c':
+						n.handle(closed{c, syscall.ECONNRESET})
+					case 'l':
+						lose(n, up)
+					}
+				}
+				if !strings.Contains(steps, "c") {
+					n.handle(closed{c, net.ErrClosed})
+				}
+				want := control.Reset
+				if strings.Contains(steps, "f") {
+					want = control.Full
+				}
+				if name == "off the list" {
+					status(t, reports, want) // and not by a dial that is under way
+				}
+				if n.dialling {
+					n.handle(dialled{conn: stub()}) // another process has the address
+				}
+				status(t, reports, want)
+				last := (*reports)[len(*reports)-1] // only of a set-up: is the node there?
+				if len(n.standing)+len(n.attempts)+len(n.doubted) != 0 || last.Cause == 0 && last.Confined != (want == control.Reset && name == "restarted") {
+					t.Errorf("%d stand, %d out, %d doubted; %+v", len(n.standing), len(n.attempts), len(n.doubted), last)
+				}
+			})
+		}
+	}
+	// What only waits for a connection ends at once, whatever becomes of the dial.
+	for _, state := range []control.State{control.Gone, control.Draining} {
+		n, _, _, reports := bed(t)
+		n.dialling = true
+		n.handle(try(1))
+		n.state.Store(int32(state))
+		n.handle(listChange{})
+		status(t, reports, control.Moot)
+	}
+}
+
 func TestUnderstand(t *testing.T) {
 	for text, want := range map[string]message{
 		"RTSP/1.0 200 OK\r\nCSeq: 3\r\nSession: 0a\r\nLink-State: x1:1.5;load_share:0.25\r\nContent-Length: 0\r\n\r\n":           {kind: tested, id: 10, status: 200, load: []float64{0.25, 1.5}},
@@ -400,6 +499,52 @@
 	p.group.Wait()
 }
 
+// A list that was silent tells at once that a node has gone, that another has its address
+// and that it runs again elsewhere: what it had is lost, what it has since stays, and what
+// waits goes to the new place, whatever the actor has seen of it.
+func TestListTellsAllAtOnce(t *testing.T) {
+	for name, seen := range map[string]int{"nothing": 0, "that it is gone": 1, "all": 2} {
+		n, _, _, reports := bed(t)
+		n.pool.cfg.MaxConns = 0 // the script dials
+		n.pool.nodes[n.server] = n
+		told := func(s control.Server, state control.State, addr string, up time.Time) {
+			n.pool.Apply(directory.Change{Members: []directory.Member{{Entry: control.Entry{Server: s, State: state}, Addr: addr, Up: up}}})
+		}
+		n.member.Addr = "old:1"
+		c := stub()
+		n.conns = []*conn{c}
+		n.handle(try(1))
+		n.handle(try(2))
+		n.handle(heard{c, message{kind: answered, id: 2, status: 200}})
+		up := time.Now()
+		told(7, control.Gone, "", time.Time{})
+		told(8, control.Ready, "old:1", time.Time{})
+		told(7, control.Ready, "new:1", up)
+		all := n.box.Take(nil)
+		for _, m := range all[:seen] {
+			n.handle(m)
+		}
+		since := stub() // to the process that runs now
+		n.conns = append(n.conns, since)
+		since.open, c.open = n.pool.cfg.StreamsPerConn, n.pool.cfg.StreamsPerConn
+		n.handle(try(3)) // which the broker sent in between
+		there := &conn{Conn: stubConn{}, touched: time.Now()}
+		n.handle(dialled{conn: there, addr: "old:1"}) // another node's by now
+		for _, m := range all[seen:] {
+			n.handle(m)
+		}
+		if !c.dead {
+			t.Error("a connection to the process that is gone stays")
+		}
+		n.handle(closed{c, net.ErrClosed})
+		n.handle(dialled{conn: stub(), addr: "new:1"})
+		status(t, reports, control.Reset, control.Reset)
+		if a := n.attempts[3]; a == nil || a.conn != n.conns[len(n.conns)-1] || there.used || since.dead || len(n.standing) != 0 {
+			t.Errorf("seen %s: %+v, %d stand; used there: %v, closed here: %v", name, a, len(n.standing), there.used, since.dead)
+		}
+	}
+}
+
 // A node that was cut off and comes back is told to end what was given up.
 func TestNodeComesBack(t *testing.T) {
 	n, c, far, _ := bed(t)
@@ -423,22 +568,79 @@
 	}
 }
 
-// A connection that is retired is still read: a release may cross its end.
-func TestRetiredConnectionIsStillRead(t *testing.T) {
+// pair is both ends of a connection.
+func pair(t *testing.T) (near, far net.Conn) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	near, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
+	if near, err = net.Dial("tcp", l.Addr().String()); err != nil {
 		t.Fatal(err)
 	}
-	defer near.Close()
-	far, err := l.Accept()
-	if err != nil {
+	t.Cleanup(func() { near.Close() })
+	if far, err = l.Accept(); err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { far.Close() })
+	return near, far
+}
+
+// What a node said in the same packet as its close, in order or by a reset, counts, also
+// where the actor hears of the close first, by a write that fails.
+func TestWordAndCloseInOnePacket(t *testing.T) {
+	const ok = "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 01\r\nContent-Length: 0\r\n\r\n"
+	const end = "TEARDOWN rtsp://media/a RTSP/1.0\r\nSession: 01\r\nReason: cause=16\r\nContent-Length: 0\r\n\r\n"
+	for text, e := range map[string]struct {
+		want   []control.Status
+		stands int
+	}{
+		strings.Replace(ok, "200", "453", 1): {want: []control.Status{control.Full}},
+		strings.Replace(ok, "200", "454", 1): {want: []control.Status{control.Moot}},
+		ok:                                   {stands: 1},
+		ok + ok:                              {stands: 1}, // a second answer does nothing
+		ok + end:                             {want: []control.Status{control.OK}},
+		end + ok:                             {want: []control.Status{control.Reset}}, // as a set-up that broke
+		ok + end[:40]:                        {stands: 1},
+		ok[:40]:                              {want: []control.Status{control.Reset}},
+		"\x00" + ok + end:                    {want: []control.Status{control.Reset}},
+	} {
+		for _, reset := range []bool{false, true} {
+			for _, first := range []string{"read", "write"} {
+				n, _, _, reports := bed(t)
+				n.pool.cfg.MaxConns = 0 // the script dials
+				near, far := pair(t)
+				c := &conn{Conn: near, touched: time.Now()}
+				n.conns = []*conn{c}
+				n.handle(try(1))
+				if _, err := io.ReadAtLeast(far, make([]byte, 4096), 1); err != nil {
+					t.Fatal(err)
+				}
+				io.WriteString(far, text)
+				if reset {
+					far.(*net.TCPConn).SetLinger(0)
+				}
+				far.Close()
+				for first == "write" && !c.dead {
+					n.handle(probe{})
+				}
+				n.handle(closed{c, c.read(nil, func(m message) bool { n.handle(heard{c, m}); return true })})
+				if n.dialling {
+					n.handle(dialled{conn: stub()})
+				}
+				status(t, reports, e.want...)
+				if len(n.standing) != e.stands || t.Failed() {
+					t.Fatalf("%q, reset %v, %s first: %d stand", text, reset, first, len(n.standing))
+				}
+			}
+		}
+	}
+}
+
+// A connection that is retired is still read: a release may cross its end.
+func TestRetiredConnectionIsStillRead(t *testing.T) {
+	near, far := pair(t)
 	n, _, _, _ := bed(t)
 	for range mostConns {
 		n.conns = append(n.conns, &conn{Conn: near, touched: time.Now()})
@@ -469,7 +671,7 @@
 	defer l.Close()
 	n, _, _, _ := bed(t)
 	ctx, cancel := context.WithCancel(t.Context())
-	n.pool.ctx, n.addr = ctx, l.Addr().String()
+	n.pool.ctx, n.member.Addr = ctx, l.Addr().String()
 	n.connect()
 	far, err := l.Accept()
 	if err != nil {
@@ -479,6 +681,9 @@
 	<-n.box.Ready() // dialled, and nobody takes it
 	cancel()
 	n.pool.group.Wait()
+	if got := n.pool.conns.Load(); got != 0 {
+		t.Errorf("%d connections are counted", got)
+	}
 }
 
 // Whatever a node sends, figures that can't be reckoned with go no further.
@@ -551,6 +756,24 @@
 	}
 }
 
+// What waits for a connection takes a place that comes free meanwhile: the dial may be slow,
+// or never come up.
+func TestPlaceComesFreeUnderADial(t *testing.T) {
+	n, _, _, reports := bed(t)
+	c := stub()
+	n.conns, n.dialling = []*conn{c}, true
+	last := control.SessionID(n.pool.cfg.StreamsPerConn + 1)
+	for id := range last {
+		n.handle(try(id + 1))
+	}
+	n.handle(heard{c, message{kind: answered, id: 1, status: 200}})
+	if n.attempts[last].conn != c {
+		t.Error("it waits on")
+	}
+	n.handle(dialled{err: syscall.ETIMEDOUT})
+	status(t, reports)
+}
+
 // Where the settings allow no probes none is written, whoever asks: the module hears that
 // it never left, and a connection that may be mute is taken for it after a test's time.
 func TestNoProbes(t *testing.T) {
@@ -560,8 +783,8 @@
 	n.pool.cfg.NoProbes = true
 	n.conns = []*conn{c}
 	n.pool.nodes[n.server] = n
-	n.handle(stands{1})
 	n.dialling = true
+	n.handle(stands{1})
 	n.handle(try(2))
 	n.handle(giveUp{2, 1, false}) // cancelled, without a word since it was written
 	for _, later := range []time.Duration{2 * suspectTime, silentTime + time.Second} {
--- a/internal/media/node.go
+++ b/internal/media/node.go
@@ -59,7 +59,6 @@
 	member directory.Member // as the list last said; the pool's, under its lock
 	server control.Server
 	id     string
-	addr   string
 	up     time.Time
 	state  atomic.Int32 // control.State, as the list last said
 	box    *box
@@ -98,7 +97,7 @@
 type stand struct {
 	conn *conn     // of its set-up; nil: closed
 	lone time.Time // since when it has none; the zero time: it has one
-	at   time.Time
+	at   time.Time // when its set-up was written, by whose process it is told from a later one's
 }
 
 // given is a set-up that was given up, known until a time for a late answer.
@@ -129,7 +128,7 @@
 
 func newNode(p *Pool, m directory.Member) *node {
 	return &node{
-		pool: p, member: m, server: m.Server, id: m.ID, addr: m.Addr, up: m.Up,
+		pool: p, member: m, server: m.Server, id: m.ID, up: m.Up,
 		box:      mailbox.New[any](boxLimit),
 		attempts: make(map[control.SessionID]*attempt),
 		given:    make(map[control.SessionID]given),
@@ -176,6 +175,14 @@
 	return n.listed() == control.Gone && len(n.attempts)+len(n.doubted)+len(n.standing)+len(n.owed) == 0 && !n.dialling
 }
 
+// addr is where the list says that it is: at once, as its state binds. One that is gone
+// may have none.
+func (n *node) addr() string {
+	n.pool.mu.RLock()
+	defer n.pool.mu.RUnlock()
+	return n.member.Addr
+}
+
 func (n *node) listed() control.State { return control.State(n.state.Load()) }
 
 func (n *node) handle(m any) {
@@ -277,7 +284,7 @@
 		n.box.Force(dialled{err: errNoRoom})
 		return
 	}
-	addr, timeout, breaks := n.addr, n.pool.cfg.ConnectTimeout, n.breaks
+	addr, timeout, breaks := n.addr(), n.pool.cfg.ConnectTimeout, n.breaks
 	n.pool.group.Go(func() error {
 		nc, err := (&net.Dialer{Timeout: timeout}).DialContext(n.pool.ctx, "tcp", addr)
 		if err != nil {
@@ -288,7 +295,7 @@
 		c := &conn{Conn: nc, touched: time.Now()}
 		// The actor may have ended by now, and would not close it.
 		defer context.AfterFunc(n.pool.ctx, func() { nc.Close() })()
-		n.box.Force(dialled{conn: c, breaks: breaks})
+		n.box.Force(dialled{conn: c, addr: addr, breaks: breaks})
 		// Reading waits for nothing: the actor has been told of c before.
 		err = c.read(n.pool.cfg.Fields, func(m message) bool { return n.box.Put(heard{c, m}) })
 		c.Close()
@@ -304,6 +311,12 @@
 		n.dialFailed(m.err)
 		return
 	}
+	if m.addr != n.addr() {
+		// Guard: the list names another address by now, and this one may be another node's.
+		n.close(m.conn)
+		n.connect()
+		return
+	}
 	n.heardAt, n.tries, n.retryAt, n.refused = time.Now(), 0, time.Time{}, false
 	n.conns = append(n.conns, m.conn)
 	if n.covered < m.breaks {
@@ -408,7 +421,8 @@
 	why := fmt.Sprint("no connection: ", err)
 	switch {
 	case n.refused && len(n.conns) == 0:
-		n.lost(why)
+		n.lost(why, time.Now())
+		clear(n.owed)
 	case time.Since(n.heardAt) > lostTime:
 		n.retryAt = time.Now().Add(retryTime)
 		// The node may hold its sessions still: it is told when it can be.
@@ -417,23 +431,26 @@
 			n.owed[id] = owed{broker.CauseCut, until}
 		}
 		n.cut(why, time.Now())
-		n.closeAll()
+		n.closeAll(time.Now())
 	}
 	if again && n.missing() {
 		n.connect()
 	}
 }
 
-// lost ends what stood at a node whose process is gone.
-func (n *node) lost(why string) {
-	n.cut(why, time.Now())
-	clear(n.owed)
-	n.closeAll()
+// lost ends what stood at a process that is gone, by when the next one came. What is open
+// ends with its connection, behind what was said on it.
+func (n *node) lost(why string, next time.Time) {
+	n.cut(why, next)
+	n.closeAll(next)
 }
 
-func (n *node) closeAll() {
+// closeAll closes what has carried nothing since a time.
+func (n *node) closeAll(since time.Time) {
 	for _, c := range n.conns {
-		n.close(c)
+		if c.touched.Before(since) {
+			n.close(c)
+		}
 	}
 }
 
@@ -466,6 +483,19 @@
 	c.Close()
 }
 
+// unwritable takes a connection on which a write failed.
+//
+// Guard: what the node has closed it closed behind its last words, such as a 453 or a 200.
+// They are read to the end. Only where it reads nothing the close has to tell it.
+func (n *node) unwritable(c *conn, err error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		n.close(c)
+		return
+	}
+	n.broke(c)
+	c.dead, c.closeAt = true, time.Now().Add(suspectTime)
+}
+
 // broke counts a connection that ends otherwise than by the node's own close, if
 // it may take along what the node said last.
 //
@@ -627,15 +657,16 @@
 }
 
 func (n *node) listChanged(m listChange) {
-	if n.listed() == control.Gone {
-		n.lost("off the list")
-		return
-	}
-	if m.member.Up.After(n.up) {
+	switch {
+	case n.listed() == control.Gone:
+		n.lost("off the list", time.Now())
+		n.judge(false)
+		clear(n.owed)
+	case m.member.Up.After(n.up):
 		n.up = m.member.Up
-		n.cut("restarted", n.up)
+		n.lost("restarted", n.up)
 	}
-	n.addr = m.member.Addr
+	n.sendWaiting() // or ends them, where the node takes nothing new
 }
 
 // Attempts and sessions.
@@ -682,7 +713,7 @@
 			}
 			return
 		}
-		n.close(c)
+		n.unwritable(c, err)
 		if sent > 0 { // a part has left: it may have run
 			n.drop(a)
 			n.broken(a, false)
@@ -740,13 +771,13 @@
 func (n *node) write(c *conn, b []byte) bool {
 	n.buf = b
 	if _, err := c.write(b); err != nil {
-		n.close(c)
+		n.unwritable(c, err)
 		return false
 	}
 	return true
 }
 
-// release ends a session that stands, on any connection.
+// release ends a session that stands, on any connection or the next that opens.
 func (n *node) release(m release) {
 	s := n.standing[m.id]
 	if s == nil {
@@ -846,6 +877,9 @@
 	case noted:
 		n.report(broker.Report{Kind: broker.Noted, ID: m.id, Note: m.note, Value: m.value})
 	}
+	if n.dialling { // what waits may have a place by now
+		n.sendWaiting()
+	}
 }
 
 // settle clears the suspicion of set-ups that a word is known to be later than.
@@ -901,13 +935,20 @@
 		if _, given := n.given[m.id]; given && m.status == 200 {
 			// Guard: a late 200 to a set-up that was given up is torn down. A second
 			// copy of an answer, or one to an id never asked for, does nothing.
-			n.tearDown(m.conn, m.id, 0)
+			n.standing[m.id] = &stand{conn: m.conn}
+			n.release(release{m.id, 0})
 		}
 		return
 	}
 	n.drop(a)
+	if there := n.listed() != control.Gone; m.status == 200 && (!there || a.sent.Before(n.up)) {
+		// Guard: it lay behind the word that its process is gone. Nobody would say the
+		// session's end where another process answers by now.
+		n.broken(a, there)
+		return
+	}
 	if m.status == 200 {
-		n.standing[m.id] = &stand{conn: m.conn, at: time.Now()}
+		n.standing[m.id] = &stand{conn: m.conn, at: a.sent}
 		n.report(broker.Report{Kind: broker.Started, ID: m.id, Number: a.Number, Load: m.load, Description: m.description})
 		return
 	}
