Begin nothing for a client that is not being read from

Cause: while over 64 KiB wait for a client, Conn.Pace reads nothing from it, so a release among what it sent meanwhile is not read, for up to 2 s, and attempts began for what it had cancelled. Reading on within a bound would only move the point from which nothing is heard.

Change: from the first such pause until all that came meanwhile is handled, Conn.Gone says so: nobody can know whether the client still wants it. The broker's look before an attempt and media's look before the first byte ask it already, for both fronts. What may not begin waits and is looked at again every 50 ms; if its time is up first, it is refused with wait, where nothing can have run (a paid session that may have run has failed, as before). A player's set-up whose grace outlives its deadline is refused then, too.

Tests: TestUnheard and five rows of TestNothingBeginsForWhoHasGone, seen failing without.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -309,6 +309,8 @@
 			if s != nil && s.client == nil && s.losses == t.token {
 				b.abandon(s)
 			}
+		case timerLook:
+			b.look(t.session)
 		case timerPart:
 			b.tickPart(int(t.token))
 		case timerForget:
--- a/internal/broker/clock.go
+++ b/internal/broker/clock.go
@@ -25,6 +25,7 @@
 	timerAttempt                   // an attempt's time is up; token is its number
 	timerDeadline                  // the viewer's answer is due
 	timerGrace                     // a lost player has not come back; token counts its losses
+	timerLook                      // an attempt waits for its client
 	timerForget                    // a final reply is forgotten
 	timerDrain                     // only wakes the loop
 	timerPart                      // a part is due; token is its number
--- a/internal/broker/gone_test.go
+++ b/internal/broker/gone_test.go
@@ -21,6 +21,10 @@
 		return func(b *Broker, f *fake) { b.ask(f, 1, clip, -1, grace) }
 	}
 	back := func(b *Broker, f *fake) { f.left = false; b.ask(f, 1, clip, -1, grace) }
+	again := func(b *Broker, f *fake) { f.left = false; b.look(1) } // it is heard again
+	look := func(b *Broker, f *fake) { b.look(1) }
+	feedAsks := func(b *Broker, f *fake) { b.ask(f, 1, feed, -1, 0) }
+	reset := func(b *Broker, f *fake) { b.tells(1, Ended, control.Reset) }
 	late := func(b *Broker, f *fake) { b.overdue(1) }
 	gone := func(b *Broker, f *fake) { b.abandon(b.sessions[1]) } // its grace is over
 	for name, e := range map[string]struct {
@@ -37,7 +41,13 @@
 		"and begins once the player is back":    {[]func(*Broker, *fake){ask(grace), lose, full, back, starts}, "setup 1, setup 1, served 1", true},
 		"also if the player had only just left": {[]func(*Broker, *fake){ask(grace), leave, full, lose, back}, "setup 1, setup 1", true},
 		"a player's first one waits":            {[]func(*Broker, *fake){leave, ask(grace), lose, back}, "setup 1", true},
-		"it fails when its time is up":          {[]func(*Broker, *fake){ask(grace), lose, full, late}, "setup 1", false},
+		"it ends when its time is up":           {[]func(*Broker, *fake){ask(grace), lose, full, late}, "setup 1", false},
+		"unheard, then heard again":             {[]func(*Broker, *fake){leave, ask(0), look, again, look, starts}, "setup 1, served 1", true},
+		"unheard between two attempts":          {[]func(*Broker, *fake){ask(0), leave, full, look, again}, "setup 1, setup 1", true},
+		"unheard until its time is up":          {[]func(*Broker, *fake){leave, ask(0), look, late}, "refused 1", false},
+		"also where nothing has run":            {[]func(*Broker, *fake){ask(0), leave, full, look, late}, "setup 1, refused 1", false},
+		"or may have run, harmlessly":           {[]func(*Broker, *fake){feedAsks, leave, reset, look, late}, "setup 1, refused 1", false},
+		"what is out when time is up failed":    {[]func(*Broker, *fake){ask(0), leave, late}, "setup 1, failed 1, giveup 1", true},
 		"it is forgotten after its grace":       {[]func(*Broker, *fake){ask(grace), lose, full, gone}, "setup 1", false},
 	} {
 		b, f := bed(t)
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -12,6 +12,11 @@
 // lastWait is how long a viewer should stay away from a program that ends.
 const lastWait = 100 * time.Millisecond
 
+const (
+	lookTime    = 50 * time.Millisecond // between looks at a client that an attempt waits for
+	unheardWait = time.Second           // for which one is sent away that was not heard in time
+)
+
 // session is one request from its arrival until all of it has ended.
 type session struct {
 	Request
@@ -117,8 +122,7 @@
 		case s.answered:
 			s.client.Deliver(s.reply)
 		case a != nil:
-			s.paused = nil
-			b.send(b.clock.now(), s, *a)
+			b.begin(b.clock.now(), s, *a)
 		}
 	}
 }
@@ -201,6 +205,9 @@
 		return
 	}
 	b.log.Warn("answered at the deadline", zap.Uint64("session", uint64(id)))
+	if s.paused != nil { // nothing of this attempt has run
+		b.refuse(s, unheardWait)
+	}
 	b.fail(s)
 }
 
@@ -229,15 +236,31 @@
 		return
 	}
 	s.server, s.out = a.Server, true
+	b.begin(now, s, a)
+}
+
+// begin has the attempt that is out begin if its client is there.
+//
+// Guard: nothing begins for a client that has gone. What it had begun goes on, and this
+// waits for its player, who may come back, or for its loss, which is on its way here. A
+// client that is not heard for a time may still want it: it is looked at again.
+func (b *Broker) begin(now time.Time, s *session, a control.Action) {
+	s.paused = nil
 	if s.client == nil || s.client.Gone(s.ID) {
-		// Guard: nothing begins for a client that has gone. What it had begun goes on, and
-		// this waits for its player, who may come back; else its loss is on its way here.
 		s.paused = &a
+		b.timers.add(now.Add(lookTime), timerLook, s.ID, 0)
 		return
 	}
 	b.send(now, s, a)
 }
 
+// look looks again whether the client of an attempt that waits for it is there.
+func (b *Broker) look(id control.SessionID) {
+	if s := b.sessions[id]; s != nil && s.paused != nil && s.client != nil {
+		b.begin(b.clock.now(), s, *s.paused)
+	}
+}
+
 // send has the attempt that is out begin.
 func (b *Broker) send(now time.Time, s *session, a control.Action) {
 	end := s.deadline.Add(-answerMargin)
@@ -266,7 +289,7 @@
 // refuse tells a viewer to come again later. The rule on paid sessions covers
 // every refusal: where an attempt may have run the answer is that it failed.
 func (b *Broker) refuse(s *session, wait time.Duration) {
-	if b.set.Classes[s.Class].Effect != control.Idempotent && (s.mayRun || s.out) {
+	if b.set.Classes[s.Class].Effect != control.Idempotent && (s.mayRun || s.out && s.paused == nil) {
 		b.answer(s, Reply{Kind: Failed, ID: s.ID, Cause: CauseFailed})
 		return
 	}
--- a/internal/front/peer/peer.go
+++ b/internal/front/peer/peer.go
@@ -69,6 +69,8 @@
 	waiting atomic.Int64  // bytes that were put and are not written
 	written chan struct{} // receives when some have been
 	paused  atomic.Bool   // the owner waits for that before it reads on
+	behind  atomic.Bool   // it did, and what came meanwhile has not all been handled
+	drained bool          // the owner's: the last Read since left nothing behind
 
 	came  time.Time
 	begun atomic.Int64 // when the message under way began, after came; 0: none is
@@ -127,9 +129,14 @@
 	c.begun.Store(now)
 }
 
-// Read notes when a message begins, and the end of all.
+// Read notes when a message begins, and the end of all. Its owner calls it once all that
+// was read before is handled.
 func (c *Conn) Read(b []byte) (int, error) {
+	if c.drained {
+		c.behind.Store(false)
+	}
 	n, err := c.Conn.Read(b)
+	c.drained = n < len(b) // there was no more
 	if err != nil {
 		c.left.Store(true)
 	}
@@ -147,6 +154,8 @@
 		return true
 	}
 	c.paused.Store(true)
+	c.behind.Store(true)
+	c.drained = false
 	for c.waiting.Load() > paceBytes {
 		select {
 		case <-c.written:
@@ -194,7 +203,8 @@
 }
 
 // Gone tells whether the client has closed the connection, or waits no more for a set-up
-// of that id.
+// of that id. Guard: nor is anything begun for one that may have: what it said while the
+// connection was not read from has not all been heard.
 func (c *Conn) Gone(id uint64) bool {
 	select {
 	case <-c.gone:
@@ -204,7 +214,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_, open := c.open[id]
-	return c.left.Load() || !open
+	return c.left.Load() || c.behind.Load() || !open
 }
 
 // owes tells whether a set-up is open.
--- a/internal/front/peer/peer_test.go
+++ b/internal/front/peer/peer_test.go
@@ -227,6 +227,43 @@
 	})
 }
 
+// While a connection is not read from, its client may have cancelled what it asked for, and
+// so it may until all has been read that came meanwhile.
+func TestUnheard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, far := piped(0)
+		defer far.Close()
+		owner := make(chan func(), 1)
+		go func() {
+			for do := range owner {
+				do()
+			}
+		}()
+		step := func(name string, gone bool, do func()) {
+			t.Helper()
+			owner <- do
+			if synctest.Wait(); c.Gone(1) != gone {
+				t.Errorf("%s: gone %v", name, !gone)
+			}
+		}
+		buf := make([]byte, 4)
+		read := func() { c.Read(buf) }
+		c.Opened(1)
+		step("slow, and read from", false, func() { c.Put(make([]byte, paceBytes+1)); read() })
+		far.Write([]byte("ask")) // all of it is read before the pause
+		step("not read from", true, func() { c.Pace() })
+		io.ReadFull(far, make([]byte, paceBytes+1))
+		step("read from again", true, func() {})
+		go far.Write([]byte("0123456789"))
+		step("a part of it", true, read)
+		step("more", true, read)
+		step("the rest, which may hold a release", true, read)
+		step("handled", false, read)
+		c.Close()
+		close(owner)
+	})
+}
+
 // A slow reader that keeps up with the stated pace stays, gets all of it in
 // order, and is not blamed for what it sent and we did not read.
 func TestSlowReaderStays(t *testing.T) {
