See that a client has gone by the time its loss is told

Cause: after a WebSocket close frame, or what is no message, the socket lingers for up to 200 ms. The front told the broker of the loss at once, but Gone said so only after that, so a set-up that waited at a node for a slow dial, or for the list, could begin meanwhile.

Change: the owner's end of reading is what Gone looks at (Conn.Leave), in place of a failed read; both fronts call it before they tell the broker.

Test: "close frame" in TestGoneIsSeenAtOnce, seen failing for both fronts. The test's own frames had a length that is not the shortest form, which the front refuses: its cases for frames passed by that close alone. They are frames now.

--- a/internal/front/gone_test.go
+++ b/internal/front/gone_test.go
@@ -22,11 +22,14 @@
 const patience = 20 * time.Second
 
 // core is a broker that takes set-ups and never gets round to anything.
-type core struct{ taken chan broker.Request }
+type core struct {
+	taken chan broker.Request
+	seen  chan bool // whether a client that is lost is seen to have gone
+}
 
 func (c core) Submit(r broker.Request) bool { c.taken <- r; return true }
 func (c core) End(broker.ViewerEnd) bool    { return true }
-func (c core) Lost(broker.Client)           {}
+func (c core) Lost(l broker.Client)         { c.seen <- l.Gone(1) }
 
 const (
 	setUp   = `{"type":"setup","id":"0000000000000001","fields":{"class":"feed","left":"900","key":"1","extras":"home:0;copies:1;top:0"},"sdp":""}`
@@ -37,20 +40,25 @@
 
 // frame makes a client's frame. Its mask is of zeros, which changes nothing.
 func frame(op byte, text string) string {
-	return string([]byte{0x80 | op, 0x80 | 126, byte(len(text) >> 8), byte(len(text)), 0, 0, 0, 0}) + text
+	size := string([]byte{0x80 | byte(len(text))})
+	if len(text) > 125 { // the shortest form, else it is refused
+		size = string([]byte{0x80 | 126, byte(len(text) >> 8), byte(len(text))})
+	}
+	return string([]byte{0x80 | op}) + size + "\x00\x00\x00\x00" + text
 }
 
 // That a client has gone can be seen at once, by any goroutine, however long the broker's
-// mailbox is.
+// mailbox is, and by the time that the broker is told of its loss at the latest.
 func TestGoneIsSeenAtOnce(t *testing.T) {
 	leave := map[string]func(c *net.TCPConn, say func(string)){
-		"close":      func(c *net.TCPConn, _ func(string)) { c.Close() },
-		"reset":      func(c *net.TCPConn, _ func(string)) { c.SetLinger(0); c.Close() },
-		"half close": func(c *net.TCPConn, _ func(string)) { c.CloseWrite() },
-		"release":    func(_ *net.TCPConn, say func(string)) { say(fmt.Sprintf(release, 1)) },
+		"close":       func(c *net.TCPConn, _ func(string)) { c.Close() },
+		"reset":       func(c *net.TCPConn, _ func(string)) { c.SetLinger(0); c.Close() },
+		"half close":  func(c *net.TCPConn, _ func(string)) { c.CloseWrite() },
+		"release":     func(_ *net.TCPConn, say func(string)) { say(fmt.Sprintf(release, 1)) },
+		"close frame": func(c *net.TCPConn, _ func(string)) { io.WriteString(c, frame(8, "")+"\n") }, // no message to the other front
 	}
 	for front, lines := range map[string]bool{"lines": true, "frames": false} {
-		taken := core{make(chan broker.Request, 1)}
+		taken := core{make(chan broker.Request, 1), make(chan bool, 1)}
 		catalog := message.Catalog{Classes: []string{"feed"}, Cells: 1, MostLeft: time.Second}
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -86,6 +94,12 @@
 					break
 				}
 			}
+			if how == "release" {
+				nc.Close()
+			}
+			if !<-taken.seen {
+				t.Errorf("%s: not gone when the broker is told of a %s", front, how)
+			}
 			nc.Close()
 		}
 		cancel()
--- a/internal/front/jsonl/jsonl.go
+++ b/internal/front/jsonl/jsonl.go
@@ -67,6 +67,7 @@
 func (c *conn) carries(host string) bool { return c.Host == host || c.Known() }
 
 func (f *Front) remove(c *conn) {
+	c.Leave()
 	f.mu.Lock()
 	f.conns = slices.DeleteFunc(f.conns, func(o *conn) bool { return o == c })
 	f.mu.Unlock()
--- a/internal/front/peer/peer.go
+++ b/internal/front/peer/peer.go
@@ -75,7 +75,7 @@
 	came  time.Time
 	begun atomic.Int64 // when the message under way began, after came; 0: none is
 	whole atomic.Int64 // when the last whole message had come, after came
-	left  atomic.Bool  // its client has closed it, or it broke
+	left  atomic.Bool  // its owner reads no more: its client has closed it, or it broke
 	told  atomic.Bool  // something was put
 	known atomic.Bool  // a session of its stands or stood
 
@@ -129,23 +129,24 @@
 	c.begun.Store(now)
 }
 
-// Read notes when a message begins, and the end of all. Its owner calls it once all that
-// was read before is handled.
+// Read notes when a message begins. Its owner calls it once all that was read before is
+// handled.
 func (c *Conn) Read(b []byte) (int, error) {
 	if c.drained {
 		c.behind.Store(false)
 	}
 	n, err := c.Conn.Read(b)
 	c.drained = n < len(b) // there was no more
-	if err != nil {
-		c.left.Store(true)
-	}
 	if n > 0 {
 		c.begun.CompareAndSwap(0, int64(time.Since(c.came))+1)
 	}
 	return n, err
 }
 
+// Leave notes that its owner reads no more, whatever ended that. The owner calls it before
+// it tells others, who may ask Gone.
+func (c *Conn) Leave() { c.left.Store(true) }
+
 // Pace waits until the reader of what was Put has caught up. The owner calls it
 // before it reads on, so that what waits for a connection is bounded by what it
 // is sent, and not by what it sends. False: the connection is gone.
--- a/internal/front/websocket/websocket.go
+++ b/internal/front/websocket/websocket.go
@@ -54,6 +54,7 @@
 		defer close(alive)
 		go c.keepAlive(alive)
 		defer f.Core.Lost(c)
+		defer c.Leave()
 		err := c.serve()
 		var code closeError
 		if errors.As(err, &code) {
