Serve a set-up under an id that its client has just released

Cause: a front keeps what is open by id. A client that releases and asks anew under the same id at once is read before the broker takes up the release, whose GivenUp or Closed (or the node's own end of what stood, Over) then ended the second set-up's claim: it looked as if its client had gone, waited for its whole time and failed, and its connection could be closed as owed nothing.

Change: what ends a session that stood ends no claim of a set-up; the broker tells who has cancelled nothing of that (ViewerEnd.Client). A player who gets an Over as the answer to a set-up is told apart (tellAgain).

Tests: TestAskedAgainAtOnce and the Over, Moved, Closed of TestGoneIsSeenAtOnce, all seen failing without.

--- a/internal/broker/api.go
+++ b/internal/broker/api.go
@@ -45,8 +45,9 @@
 
 // ViewerEnd tells that a viewer has given a set-up up or ends a session.
 type ViewerEnd struct {
-	ID    control.SessionID
-	Cause int
+	ID     control.SessionID
+	Cause  int
+	Client Client // who says so, and has nothing open under that id by now unless it has asked anew
 }
 
 // ReplyKind says what a Reply tells a viewer.
--- a/internal/broker/gone_test.go
+++ b/internal/broker/gone_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"millethinge/control"
 )
 
@@ -65,3 +67,45 @@
 		}
 	}
 }
+
+// place is a client that keeps, as fronts do, whether a set-up of its is open.
+type place struct {
+	*fake
+	open bool
+}
+
+func (p *place) Gone(control.SessionID) bool { return !p.open }
+func (p *place) Deliver(r Reply) bool {
+	p.open = p.open && (r.Kind == Over || r.Kind == Moved || r.Kind == Closed)
+	return p.fake.Deliver(r)
+}
+
+// One that cancels and asks at once again under the same id is served: what the broker has
+// to say of the first ends no claim of the second, which the front has read by then.
+func TestAskedAgainAtOnce(t *testing.T) {
+	set := settings()
+	set.Fields, set.Feed, set.Probes = []string{"x0", "x1"}, control.FeedAnswers, true // the first waits for a report
+	f := &fake{}
+	b, err := New(Config{Settings: set, Seed: 1, Nodes: f, Log: zap.NewNop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.handle(List{Entries: []control.Entry{{Server: 1, State: control.Ready, Weight: 1}, {Server: 2, State: control.Ready, Weight: 1}}})
+	p := &place{f, true}
+	r := Request{ID: 1, Class: feed, Team: -1, Title: 1, Span: 1, MaxRung: 2, Left: 3 * time.Second, Came: time.Now(), Client: p}
+	b.handle(r)
+	b.handle(ViewerEnd{ID: 1, Cause: CauseEnded, Client: p})
+	b.handle(r)
+	for _, s := range []control.Server{1, 2, 1, 2} { // each was asked for both
+		b.handle(Report{Kind: Probed, Server: s, Status: control.OK, Load: []float64{0, 0}})
+	}
+	if got := f.take(); got != "setup 1" {
+		t.Errorf("%q", got)
+	}
+	b.ended[1] = Reply{Kind: Over, ID: 1} // a player who lost the end of what stood gets it as its answer
+	delete(b.sessions, 1)
+	p.open = true
+	if b.handle(r); p.open {
+		t.Error("its set-up stays open")
+	}
+}
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -46,7 +46,7 @@
 	if last, ok := b.ended[r.ID]; ok {
 		// A player that lost the final answer asks again: it gets the same one,
 		// and nothing is set up a second time.
-		r.Client.Deliver(last)
+		tellAgain(r.Client, last)
 		return
 	}
 	if b.closing() {
@@ -120,13 +120,22 @@
 		s.client = r.Client
 		switch a := s.paused; {
 		case s.answered:
-			s.client.Deliver(s.reply)
+			tellAgain(s.client, s.reply)
 		case a != nil:
 			b.begin(b.clock.now(), s, *a)
 		}
 	}
 }
 
+// tellAgain answers a set-up by how its session ended before. Guard: the end of what stood
+// is no answer to a set-up, and leaves one that is open under that id as it is.
+func tellAgain(c Client, r Reply) {
+	c.Deliver(r)
+	if r.Kind == Over || r.Kind == Moved {
+		c.Deliver(Reply{Kind: GivenUp, ID: r.ID})
+	}
+}
+
 // repeats tells whether r asks for the same as s did. What it named counts, not
 // what rules made of it: they may have been swapped since.
 func (s *session) repeats(r Request) bool {
@@ -164,6 +173,9 @@
 		b.over(s, control.Cancelled, nil)
 		return
 	}
+	if s.client == e.Client {
+		s.client = nil // it knows, and may have asked anew under that id
+	}
 	b.abandon(s)
 }
 
--- a/internal/front/gone_test.go
+++ b/internal/front/gone_test.go
@@ -84,6 +84,9 @@
 			say(setUp)
 			r := <-taken.taken
 			say(fmt.Sprintf(release, 2)) // of another one
+			for _, kind := range []broker.ReplyKind{broker.Over, broker.Moved, broker.Closed} {
+				r.Client.Deliver(broker.Reply{Kind: kind, ID: 1}) // what stood under that id before ends
+			}
 			if r.Client.Gone(1) {
 				t.Errorf("%s: gone before it left by %s", front, how)
 			}
--- a/internal/front/jsonl/jsonl.go
+++ b/internal/front/jsonl/jsonl.go
@@ -81,27 +81,27 @@
 // Deliver sends an answer on the connection of its set-up. What ends a session
 // that stood goes on any open one: none owns it.
 func (c *conn) Deliver(r broker.Reply) bool {
-	defer c.Answered(uint64(r.ID)) // not before it is queued: the connection may be closed once nothing is owed
 	switch r.Kind {
-	case broker.GivenUp:
+	case broker.Closed: // its set-up was answered; one that is open under that id is another
+		c.Fell()
 		return true
-	case broker.Closed:
+	case broker.Over, broker.Moved: // likewise
 		c.Fell()
+		e := &end{reply: r, host: c.Host, until: time.Now().Add(keepEnd)}
+		if !c.sendEnd(e) {
+			c.front.sendEnd(e)
+		}
+		return true
+	}
+	defer c.Answered(uint64(r.ID)) // not before it is queued: the connection may be closed once nothing is owed
+	switch r.Kind {
+	case broker.GivenUp:
 		return true
 	case broker.Served:
 		c.know()
 		c.Stands()
-	case broker.Over, broker.Moved:
-		c.Fell()
 	}
-	if r.Kind != broker.Over && r.Kind != broker.Moved {
-		return c.send(r)
-	}
-	e := &end{reply: r, host: c.Host, until: time.Now().Add(keepEnd)}
-	if !c.sendEnd(e) {
-		c.front.sendEnd(e)
-	}
-	return true
+	return c.send(r)
 }
 
 // Gone is part of broker.Client.
@@ -164,7 +164,7 @@
 			return false
 		}
 		c.Answered(uint64(id)) // first: an attempt that is under way in the broker is not begun
-		return c.front.Core.End(broker.ViewerEnd{ID: id, Cause: m.Cause})
+		return c.front.Core.End(broker.ViewerEnd{ID: id, Cause: m.Cause, Client: c})
 	case "released":
 		if id, err := message.ParseID(m.ID); err == nil {
 			c.heard(id)
--- a/internal/front/websocket/websocket.go
+++ b/internal/front/websocket/websocket.go
@@ -75,18 +75,21 @@
 // Deliver sends a reply on this socket. If it is lost, the broker keeps the
 // reply for the player to come back.
 func (c *conn) Deliver(r broker.Reply) bool {
-	defer c.Answered(uint64(r.ID)) // not before it is queued: the connection may be closed once nothing is owed
 	switch r.Kind {
-	case broker.GivenUp:
+	case broker.Closed: // its set-up was answered; one that is open under that id is another
+		c.Fell()
 		return true
-	case broker.Closed:
+	case broker.Over, broker.Moved: // likewise
 		c.Fell()
+	default:
+		defer c.Answered(uint64(r.ID)) // not before it is queued: the connection may be closed once nothing is owed
+	}
+	switch r.Kind {
+	case broker.GivenUp:
 		return true
 	case broker.Served:
 		c.Know()
 		c.Stands()
-	case broker.Over, broker.Moved:
-		c.Fell()
 	}
 	return c.Put(appendFrame(nil, opText, message.AppendReply(nil, r)))
 }
@@ -213,7 +216,7 @@
 	case "release":
 		id, err := message.ParseID(m.ID)
 		c.Answered(uint64(id)) // first: an attempt that is under way in the broker is not begun
-		if err != nil || !c.front.Core.End(broker.ViewerEnd{ID: id, Cause: m.Cause}) {
+		if err != nil || !c.front.Core.End(broker.ViewerEnd{ID: id, Cause: m.Cause, Client: c}) {
 			return closeError(closeProtocol)
 		}
 	case "ping":
