--- a/internal/server/gone_test.go
+++ b/internal/server/gone_test.go
@@ -80,8 +80,9 @@
 	if !*leavers {
 		t.Skip("a measurement: -leavers")
 	}
-	const each = 60 // sessions a case
-	ways := []string{"close", "reset", "half close", "release"}
+	const each, few = 60, 12 // sessions a case
+	ping := `{"type":"ping","id":"` + strings.Repeat("0", 15<<10) + `"}`
+	ways := []string{"close", "reset", "half close", "release", "release, unread"}
 	for _, stage := range []string{"attempt out or between two", "slow dial", "an old process that drains"} {
 		for _, player := range []bool{false, true} {
 			for _, grace := range []string{"1ms", "3s"} {
@@ -110,7 +111,12 @@
 					left := map[string]time.Time{}
 					var mu sync.Mutex
 					var all sync.WaitGroup
-					for n := range each {
+					flood := way == "release, unread" // it asks and does not listen, so it is not read from
+					sessions := each
+					if flood {
+						sessions = few
+					}
+					for n := range sessions {
 						s := speak(t, p, player)
 						id := fmt.Sprintf("%016x", n+1)
 						all.Go(func() {
@@ -122,6 +128,12 @@
 							} else {
 								c = s.(frameSpeaker).Conn.(*net.TCPConn)
 							}
+							if flood {
+								c.SetReadBuffer(1 << 12)
+								for range 400 {
+									s.say(ping)
+								}
+							}
 							at := time.Now()
 							switch way {
 							case "close":
@@ -131,14 +143,14 @@
 								c.Close()
 							case "half close":
 								c.CloseWrite()
-							case "release":
+							case "release", "release, unread":
 								s.say(fmt.Sprintf(`{"type":"release","id":"%s","fields":{},"cause":16}`, id))
 							}
 							mu.Lock()
 							left[id] = at
 							mu.Unlock()
 						})
-						if stage == "an old process that drains" && n == each/2 {
+						if stage == "an old process that drains" && n == sessions/2 {
 							p.signals <- syscall.SIGTERM
 						}
 					}
@@ -163,7 +175,7 @@
 					if player {
 						front = "frames, grace " + grace
 					}
-					t.Logf("%s | %s | %s | begun at all %d of %d | after leaving %d, at most %v", stage, front, way, len(b.last), each, after, most)
+					t.Logf("%s | %s | %s | begun at all %d of %d | after leaving %d, at most %v", stage, front, way, len(b.last), sessions, after, most)
 					if most > 100*time.Millisecond {
 						t.Errorf("%s, %s, %s: %v", stage, front, way, most)
 					}
