Fold the two listeners that nobody hears, and two plays of a front's end

standin.Shy fills a listener's queue for the tests of the process and of the server; played runs Serve in a bubble for the plays that differ in what is done alone.

--- a/cmd/millethinge/process_test.go
+++ b/cmd/millethinge/process_test.go
@@ -226,22 +226,14 @@
 	return res.StatusCode == http.StatusOK
 }
 
-// shy is an address on loopback that nothing is heard from: its listener's queue is full.
+// shy is an address on loopback that nothing is heard from.
 func shy(t *testing.T) string {
 	l := loopback(t)
-	raw, err := l.(*net.TCPListener).SyscallConn()
+	end, err := standin.Shy(l.(*net.TCPListener))
 	if err != nil {
 		t.Fatal(err)
 	}
-	raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) })
-	if err != nil {
-		t.Fatal(err)
-	}
-	for range 2 {
-		if c, err := net.DialTimeout("tcp", l.Addr().String(), 100*time.Millisecond); err == nil {
-			t.Cleanup(func() { c.Close() })
-		}
-	}
+	t.Cleanup(end)
 	return l.Addr().String()
 }
 
--- a/internal/front/peer/ends_test.go
+++ b/internal/front/peer/ends_test.go
@@ -118,6 +118,22 @@
 	return far
 }
 
+// played plays against Serve in a bubble's fake time, and has it end.
+func played(t *testing.T, most int, log *zap.Logger, handle func(*Conn), play func(*scripted)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		l, done := script(), make(chan error)
+		go func() {
+			done <- Serve(ctx, l, Limits{Most: most}, log, func(_ context.Context, c *Conn) { handle(c) })
+		}()
+		play(l)
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // An answer to what was read before the end is written, though it is given after; what
 // comes later is not taken. One that is never answered holds the end up for a moment only.
 func TestEndWaitsForAnswers(t *testing.T) {
@@ -160,16 +176,11 @@
 // Where the machine gives no more descriptors, the connection that is missed least gives
 // way, and the log tells of it once.
 func TestNoDescriptorLeft(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		l, done := script(), make(chan error)
-		core, seen := observer.New(zap.WarnLevel)
-		go func() {
-			done <- Serve(ctx, l, Limits{Most: 9}, zap.New(core), func(_ context.Context, c *Conn) {
-				c.Read(make([]byte, 1))
-				c.Put([]byte("served"))
-			})
-		}()
+	core, seen := observer.New(zap.WarnLevel)
+	played(t, 9, zap.New(core), func(c *Conn) {
+		c.Read(make([]byte, 1))
+		c.Put([]byte("served"))
+	}, func(l *scripted) {
 		begun, idle := time.Now(), l.dial()
 		synctest.Wait()
 		for range 100 {
@@ -186,28 +197,19 @@
 		if seen.Len() != 1 {
 			t.Errorf("%d lines", seen.Len())
 		}
-		cancel()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
 	})
 }
 
 // One that has just come keeps its place until its first request can be read, however
 // many come after it.
 func TestFirstRequestIsRead(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		l, done := script(), make(chan error)
-		go func() {
-			done <- Serve(ctx, l, Limits{Most: 1}, zap.NewNop(), func(_ context.Context, c *Conn) {
-				if _, err := c.Read(make([]byte, 1)); err == nil {
-					c.Opened(1)
-					c.Put([]byte("served"))
-					c.Answered(1)
-				}
-			})
-		}()
+	played(t, 1, zap.NewNop(), func(c *Conn) {
+		if _, err := c.Read(make([]byte, 1)); err == nil {
+			c.Opened(1)
+			c.Put([]byte("served"))
+			c.Answered(1)
+		}
+	}, func(l *scripted) {
 		for range 3 {
 			one := l.dial()
 			rush := make(chan net.Conn, 1)
@@ -219,9 +221,5 @@
 			}
 			(<-rush).Close()
 		}
-		cancel()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
 	})
 }
--- a/internal/server/gone_test.go
+++ b/internal/server/gone_test.go
@@ -13,6 +13,7 @@
 
 	"millethinge/internal/config"
 	"millethinge/internal/rtsp"
+	"millethinge/internal/standin"
 	"millethinge/internal/stream"
 )
 
@@ -54,23 +55,14 @@
 	}
 }
 
-// shy is a listener whose queue is full: connections to it come up only once it is served,
-// a second or so later, when their first packet is sent again.
+// shy is a listener whose queue is full.
 func shy(t *testing.T) net.Listener {
 	l := loopback(t)
-	raw, err := l.(*net.TCPListener).SyscallConn()
+	end, err := standin.Shy(l.(*net.TCPListener))
 	if err != nil {
 		t.Fatal(err)
 	}
-	raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) })
-	if err != nil {
-		t.Fatal(err)
-	}
-	for range 2 {
-		if c, err := net.DialTimeout("tcp", l.Addr().String(), 100*time.Millisecond); err == nil {
-			t.Cleanup(func() { c.Close() })
-		}
-	}
+	t.Cleanup(end)
 	return l
 }
 
