Take a client for heard once all it sent has been handled for 20 ms

A client that goes on sending has more under way whenever a read leaves nothing for a moment; each such moment cleared the mark and gave another 20 ms.

Change: who has been behind for 20 ms is heard again when all has been handled for as long; a burst that is handled sooner counts for nothing.

Test: TestUnheard, whose new steps fail without.

--- a/internal/front/peer/peer.go
+++ b/internal/front/peer/peer.go
@@ -42,7 +42,7 @@
 	idleTime  = 30 * time.Second // without a message, and with no set-up open and no session of its standing
 	watchTime = 100 * time.Millisecond
 	// behindTime is how long what a client says may wait to be handled before it is taken
-	// for one that may have gone.
+	// for one that may have gone, and how long all of it is to be handled until it isn't.
 	behindTime = 20 * time.Millisecond
 	// freshTime is how long one that has sent nothing keeps its place whatever comes.
 	freshTime = 50 * time.Millisecond
@@ -72,7 +72,6 @@
 	waiting atomic.Int64  // bytes that were put and are not written
 	written chan struct{} // receives when some have been
 	paused  atomic.Bool   // the owner waits for that before it reads on
-	behind  atomic.Int64  // since when more has come than is handled, after came; 0: all is
 	drained bool          // the owner's: the last Read left nothing behind
 
 	came  time.Time
@@ -86,9 +85,12 @@
 
 	gate Gate // nil: clients are always taken
 
-	mu   sync.Mutex
-	open map[uint64]struct{} // set-ups that are owed an answer
-	most int                 // of them at once
+	mu     sync.Mutex
+	open   map[uint64]struct{} // set-ups that are owed an answer
+	most   int                 // of them at once
+	behind bool                // more has come than is handled
+	since  time.Time           // that is so, but for moments
+	until  time.Time           // it was last so
 }
 
 // Gate tells whether clients are taken. All connections ask it, at any time.
@@ -135,12 +137,12 @@
 // Read notes when a message begins. Its owner calls it once all that was read before is
 // handled.
 func (c *Conn) Read(b []byte) (int, error) {
-	if c.drained {
-		c.behind.Store(0)
+	if c.drained && c.behind { // the owner alone changes it
+		c.late(false)
 	}
 	n, err := c.Conn.Read(b)
 	if c.drained = n < len(b); !c.drained { // there may be more
-		c.late()
+		c.late(true)
 	}
 	if n > 0 {
 		c.begun.CompareAndSwap(0, int64(time.Since(c.came))+1)
@@ -148,8 +150,26 @@
 	return n, err
 }
 
-// late notes that more may have come than is handled.
-func (c *Conn) late() { c.behind.CompareAndSwap(0, int64(time.Since(c.came))+1) }
+// late notes that more may have come than is handled, or that all is.
+func (c *Conn) late(behind bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if !c.behind && now.Sub(c.until) > behindTime {
+		c.since = now
+	}
+	c.behind, c.until = behind, now
+}
+
+// unheard tells whether its client has been behind for so long that it may have gone. Guard:
+// one that goes on sending has more under way when all that has come is handled for a
+// moment. mu is held.
+func (c *Conn) unheard(now time.Time) bool {
+	if c.behind {
+		return now.Sub(c.since) > behindTime
+	}
+	return c.until.Sub(c.since) > behindTime && now.Sub(c.until) <= behindTime
+}
 
 // Leave notes that its owner reads no more, whatever ended that. The owner calls it before
 // it tells others, who may ask Gone.
@@ -163,7 +183,7 @@
 		return true
 	}
 	c.paused.Store(true)
-	c.late()
+	c.late(true)
 	c.drained = false
 	for c.waiting.Load() > paceBytes {
 		select {
@@ -223,8 +243,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_, open := c.open[id]
-	since := time.Duration(c.behind.Load())
-	return c.left.Load() || !open || since > 0 && time.Since(c.came)-since > behindTime
+	return c.left.Load() || !open || c.unheard(time.Now())
 }
 
 // owes tells whether a set-up is open.
--- a/internal/front/peer/peer_test.go
+++ b/internal/front/peer/peer_test.go
@@ -239,35 +239,40 @@
 				do()
 			}
 		}()
-		step := func(name string, gone bool, do func()) {
+		step := func(name string, wait time.Duration, gone bool, do func()) {
 			t.Helper()
 			owner <- do
-			time.Sleep(behindTime) // still heard in time
-			if synctest.Wait(); c.Gone(1) && !gone {
-				t.Error(name, "for a moment: gone")
-			}
-			if time.Sleep(time.Millisecond); c.Gone(1) != gone {
+			synctest.Wait()
+			if time.Sleep(wait); c.Gone(1) != gone {
 				t.Errorf("%s: gone %v", name, !gone)
 			}
 		}
 		say := func(s string) { go far.Write([]byte(s)) }
 		buf := make([]byte, 4)
-		read := func() { c.Read(buf) }
+		read, look := func() { c.Read(buf) }, func() {}
 		c.Opened(1)
-		step("slow, and read from", false, func() { c.Put(make([]byte, paceBytes+1)); read() })
+		step("slow, and read from", 9*behindTime, false, func() { c.Put(make([]byte, paceBytes+1)); read() })
 		say("ask") // all of it is read before the pause
-		step("not read from", true, func() { c.Pace() })
+		step("not read from for a moment", behindTime, false, func() { c.Pace() })
+		step("for long", 1, true, look)
+		time.Sleep(9 * behindTime)
 		io.ReadFull(far, make([]byte, paceBytes+1))
-		step("read from again", true, func() {})
+		step("read from again", 1, true, look)
+		say("0123456789")
+		step("a part of it", 1, true, read)
+		step("more", 1, true, read)
+		step("the rest, which may hold a release", 9*behindTime, true, read)
+		step("handled, and more may be under way", behindTime, true, read)
+		step("none is", 1, false, look)
+		say("0123456789")
+		step("more than is handled", behindTime, false, look)
+		step("for long", 1, true, look)
 		say("0123456789")
-		step("a part of it", true, read)
-		step("more", true, read)
-		step("the rest, which may hold a release", true, read)
-		step("handled", false, read)
+		step("all, and more at once", behindTime, true, func() { read(); read(); read(); read() })
+		step("all of that", 9*behindTime, false, func() { read(); read(); read() })
 		say("0123456789")
-		step("more than is handled", true, read)
-		step("the next part", true, read)
-		step("all", false, func() { read(); read() })
+		step("a burst", 1, false, func() { read(); read() })
+		step("is no more", behindTime, false, look)
 		c.Close()
 		close(owner)
 	})
