--- a/internal/broker/api.go
+++ b/internal/broker/api.go
@@ -45,8 +45,9 @@
 
 // ViewerEnd tells that a viewer has given a set-up up or ends a session.
 type ViewerEnd struct {
-	ID    control.SessionID
-	Cause int
+	ID     control.SessionID
+	Cause  int
+	Client Client // who says so, and has nothing open under that id by now unless it has asked anew
 }
 
 // ReplyKind says what a Reply tells a viewer.
@@ -77,8 +78,9 @@
 type Client interface {
 	// Deliver returns false if the reply can't reach the viewer any more.
 	Deliver(Reply) bool
-	// Gone tells whether the client has closed or has cancelled its request of that id.
-	// It knows of both before the broker does, whose mailbox they take their turn in.
+	// Gone tells whether the client has closed or has cancelled its request of that id, or
+	// may have, since it can't be heard for now. It knows of all that before the broker
+	// does, whose mailbox the first two take their turn in.
 	Gone(control.SessionID) bool
 }
 
--- a/internal/broker/gone_test.go
+++ b/internal/broker/gone_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"millethinge/control"
 )
 
@@ -21,6 +23,10 @@
 		return func(b *Broker, f *fake) { b.ask(f, 1, clip, -1, grace) }
 	}
 	back := func(b *Broker, f *fake) { f.left = false; b.ask(f, 1, clip, -1, grace) }
+	again := func(b *Broker, f *fake) { f.left = false; b.look(1) } // it is heard again
+	look := func(b *Broker, f *fake) { b.look(1) }
+	feedAsks := func(b *Broker, f *fake) { b.ask(f, 1, feed, -1, 0) }
+	reset := func(b *Broker, f *fake) { b.tells(1, Ended, control.Reset) }
 	late := func(b *Broker, f *fake) { b.overdue(1) }
 	gone := func(b *Broker, f *fake) { b.abandon(b.sessions[1]) } // its grace is over
 	for name, e := range map[string]struct {
@@ -37,7 +43,13 @@
 		"and begins once the player is back":    {[]func(*Broker, *fake){ask(grace), lose, full, back, starts}, "setup 1, setup 1, served 1", true},
 		"also if the player had only just left": {[]func(*Broker, *fake){ask(grace), leave, full, lose, back}, "setup 1, setup 1", true},
 		"a player's first one waits":            {[]func(*Broker, *fake){leave, ask(grace), lose, back}, "setup 1", true},
-		"it fails when its time is up":          {[]func(*Broker, *fake){ask(grace), lose, full, late}, "setup 1", false},
+		"it ends when its time is up":           {[]func(*Broker, *fake){ask(grace), lose, full, late}, "setup 1", false},
+		"unheard, then heard again":             {[]func(*Broker, *fake){leave, ask(0), look, again, look, starts}, "setup 1, served 1", true},
+		"unheard between two attempts":          {[]func(*Broker, *fake){ask(0), leave, full, look, again}, "setup 1, setup 1", true},
+		"unheard until its time is up":          {[]func(*Broker, *fake){leave, ask(0), look, late}, "refused 1", false},
+		"also where nothing has run":            {[]func(*Broker, *fake){ask(0), leave, full, look, late}, "setup 1, refused 1", false},
+		"or may have run, harmlessly":           {[]func(*Broker, *fake){feedAsks, leave, reset, look, late}, "setup 1, refused 1", false},
+		"what is out when time is up failed":    {[]func(*Broker, *fake){ask(0), leave, late}, "setup 1, failed 1, giveup 1", true},
 		"it is forgotten after its grace":       {[]func(*Broker, *fake){ask(grace), lose, full, gone}, "setup 1", false},
 	} {
 		b, f := bed(t)
@@ -55,3 +67,45 @@
 		}
 	}
 }
+
+// place is a client that keeps, as fronts do, whether a set-up of its is open.
+type place struct {
+	*fake
+	open bool
+}
+
+func (p *place) Gone(control.SessionID) bool { return !p.open }
+func (p *place) Deliver(r Reply) bool {
+	p.open = p.open && (r.Kind == Over || r.Kind == Moved || r.Kind == Closed)
+	return p.fake.Deliver(r)
+}
+
+// One that cancels and asks at once again under the same id is served: what the broker has
+// to say of the first ends no claim of the second, which the front has read by then.
+func TestAskedAgainAtOnce(t *testing.T) {
+	set := settings()
+	set.Fields, set.Feed, set.Probes = []string{"x0", "x1"}, control.FeedAnswers, true // the first waits for a report
+	f := &fake{}
+	b, err := New(Config{Settings: set, Seed: 1, Nodes: f, Log: zap.NewNop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.handle(List{Entries: []control.Entry{{Server: 1, State: control.Ready, Weight: 1}, {Server: 2, State: control.Ready, Weight: 1}}})
+	p := &place{f, true}
+	r := Request{ID: 1, Class: feed, Team: -1, Title: 1, Span: 1, MaxRung: 2, Left: 3 * time.Second, Came: time.Now(), Client: p}
+	b.handle(r)
+	b.handle(ViewerEnd{ID: 1, Cause: CauseEnded, Client: p})
+	b.handle(r)
+	for _, s := range []control.Server{1, 2, 1, 2} { // each was asked for both
+		b.handle(Report{Kind: Probed, Server: s, Status: control.OK, Load: []float64{0, 0}})
+	}
+	if got := f.take(); got != "setup 1" {
+		t.Errorf("%q", got)
+	}
+	b.ended[1] = Reply{Kind: Over, ID: 1} // a player who lost the end of what stood gets it as its answer
+	delete(b.sessions, 1)
+	p.open = true
+	if b.handle(r); p.open {
+		t.Error("its set-up stays open")
+	}
+}
--- a/internal/front/peer/peer.go
+++ b/internal/front/peer/peer.go
@@ -41,6 +41,9 @@
 	wordTime  = 2 * time.Second
 	idleTime  = 30 * time.Second // without a message, and with no set-up open and no session of its standing
 	watchTime = 100 * time.Millisecond
+	// behindTime is how long what a client says may wait to be handled before it is taken
+	// for one that may have gone, and how long all of it is to be handled until it isn't.
+	behindTime = 20 * time.Millisecond
 	// freshTime is how long one that has sent nothing keeps its place whatever comes.
 	freshTime = 50 * time.Millisecond
 	// settleTime is how long answers are waited for at the end: who gives them has
@@ -69,11 +72,12 @@
 	waiting atomic.Int64  // bytes that were put and are not written
 	written chan struct{} // receives when some have been
 	paused  atomic.Bool   // the owner waits for that before it reads on
+	drained bool          // the owner's: the last Read left nothing behind
 
 	came  time.Time
 	begun atomic.Int64 // when the message under way began, after came; 0: none is
 	whole atomic.Int64 // when the last whole message had come, after came
-	left  atomic.Bool  // its client has closed it, or it broke
+	left  atomic.Bool  // its owner reads no more: its client has closed it, or it broke
 	told  atomic.Bool  // something was put
 	known atomic.Bool  // a session of its stands or stood
 
@@ -81,9 +85,12 @@
 
 	gate Gate // nil: clients are always taken
 
-	mu   sync.Mutex
-	open map[uint64]struct{} // set-ups that are owed an answer
-	most int                 // of them at once
+	mu     sync.Mutex
+	open   map[uint64]struct{} // set-ups that are owed an answer
+	most   int                 // of them at once
+	behind bool                // more has come than is handled
+	since  time.Time           // that is so, but for moments
+	until  time.Time           // it was last so
 }
 
 // Gate tells whether clients are taken. All connections ask it, at any time.
@@ -127,11 +134,15 @@
 	c.begun.Store(now)
 }
 
-// Read notes when a message begins, and the end of all.
+// Read notes when a message begins. Its owner calls it once all that was read before is
+// handled.
 func (c *Conn) Read(b []byte) (int, error) {
+	if c.drained && c.behind { // the owner alone changes it
+		c.late(false)
+	}
 	n, err := c.Conn.Read(b)
-	if err != nil {
-		c.left.Store(true)
+	if c.drained = n < len(b); !c.drained { // there may be more
+		c.late(true)
 	}
 	if n > 0 {
 		c.begun.CompareAndSwap(0, int64(time.Since(c.came))+1)
@@ -139,6 +150,31 @@
 	return n, err
 }
 
+// late notes that more may have come than is handled, or that all is.
+func (c *Conn) late(behind bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if !c.behind && now.Sub(c.until) > behindTime {
+		c.since = now
+	}
+	c.behind, c.until = behind, now
+}
+
+// unheard tells whether its client has been behind for so long that it may have gone. Guard:
+// one that goes on sending has more under way when all that has come is handled for a
+// moment. mu is held.
+func (c *Conn) unheard(now time.Time) bool {
+	if c.behind {
+		return now.Sub(c.since) > behindTime
+	}
+	return c.until.Sub(c.since) > behindTime && now.Sub(c.until) <= behindTime
+}
+
+// Leave notes that its owner reads no more, whatever ended that. The owner calls it before
+// it tells others, who may ask Gone.
+func (c *Conn) Leave() { c.left.Store(true) }
+
 // Pace waits until the reader of what was Put has caught up. The owner calls it
 // before it reads on, so that what waits for a connection is bounded by what it
 // is sent, and not by what it sends. False: the connection is gone.
@@ -147,6 +183,8 @@
 		return true
 	}
 	c.paused.Store(true)
+	c.late(true)
+	c.drained = false
 	for c.waiting.Load() > paceBytes {
 		select {
 		case <-c.written:
@@ -194,7 +232,8 @@
 }
 
 // Gone tells whether the client has closed the connection, or waits no more for a set-up
-// of that id.
+// of that id. Guard: nor is anything begun for one that may have: while the connection is
+// not read from, or more comes than is handled, a release may be among it.
 func (c *Conn) Gone(id uint64) bool {
 	select {
 	case <-c.gone:
@@ -204,7 +243,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_, open := c.open[id]
-	return c.left.Load() || !open
+	return c.left.Load() || !open || c.unheard(time.Now())
 }
 
 // owes tells whether a set-up is open.
--- a/internal/front/peer/peer_test.go
+++ b/internal/front/peer/peer_test.go
@@ -227,6 +227,57 @@
 	})
 }
 
+// While a connection is not read from for long, or more comes than is handled, its client
+// may have cancelled what it asked for, and so it may until all has been handled.
+func TestUnheard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, far := piped(0)
+		defer far.Close()
+		owner := make(chan func(), 1)
+		go func() {
+			for do := range owner {
+				do()
+			}
+		}()
+		step := func(name string, wait time.Duration, gone bool, do func()) {
+			t.Helper()
+			owner <- do
+			synctest.Wait()
+			if time.Sleep(wait); c.Gone(1) != gone {
+				t.Errorf("%s: gone %v", name, !gone)
+			}
+		}
+		say := func(s string) { go far.Write([]byte(s)) }
+		buf := make([]byte, 4)
+		read, look := func() { c.Read(buf) }, func() {}
+		c.Opened(1)
+		step("slow, and read from", 9*behindTime, false, func() { c.Put(make([]byte, paceBytes+1)); read() })
+		say("ask") // all of it is read before the pause
+		step("not read from for a moment", behindTime, false, func() { c.Pace() })
+		step("for long", 1, true, look)
+		time.Sleep(9 * behindTime)
+		io.ReadFull(far, make([]byte, paceBytes+1))
+		step("read from again", 1, true, look)
+		say("0123456789")
+		step("a part of it", 1, true, read)
+		step("more", 1, true, read)
+		step("the rest, which may hold a release", 9*behindTime, true, read)
+		step("handled, and more may be under way", behindTime, true, read)
+		step("none is", 1, false, look)
+		say("0123456789")
+		step("more than is handled", behindTime, false, look)
+		step("for long", 1, true, look)
+		say("0123456789")
+		step("all, and more at once", behindTime, true, func() { read(); read(); read(); read() })
+		step("all of that", 9*behindTime, false, func() { read(); read(); read() })
+		say("0123456789")
+		step("a burst", 1, false, func() { read(); read() })
+		step("is no more", behindTime, false, look)
+		c.Close()
+		close(owner)
+	})
+}
+
 // A slow reader that keeps up with the stated pace stays, gets all of it in
 // order, and is not blamed for what it sent and we did not read.
 func TestSlowReaderStays(t *testing.T) {
--- a/internal/server/gone_test.go
+++ b/internal/server/gone_test.go
@@ -13,6 +13,7 @@
 
 	"millethinge/internal/config"
 	"millethinge/internal/rtsp"
+	"millethinge/internal/standin"
 	"millethinge/internal/stream"
 )
 
@@ -54,23 +55,14 @@
 	}
 }
 
-// shy is a listener whose queue is full: connections to it come up only once it is served,
-// a second or so later, when their first packet is sent again.
+// shy is a listener whose queue is full.
 func shy(t *testing.T) net.Listener {
 	l := loopback(t)
-	raw, err := l.(*net.TCPListener).SyscallConn()
+	end, err := standin.Shy(l.(*net.TCPListener))
 	if err != nil {
 		t.Fatal(err)
 	}
-	raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) })
-	if err != nil {
-		t.Fatal(err)
-	}
-	for range 2 {
-		if c, err := net.DialTimeout("tcp", l.Addr().String(), 100*time.Millisecond); err == nil {
-			t.Cleanup(func() { c.Close() })
-		}
-	}
+	t.Cleanup(end)
 	return l
 }
 
@@ -80,8 +72,9 @@
 	if !*leavers {
 		t.Skip("a measurement: -leavers")
 	}
-	const each = 60 // sessions a case
-	ways := []string{"close", "reset", "half close", "release"}
+	const each, few = 60, 12 // sessions a case
+	ping := `{"type":"ping","id":"` + strings.Repeat("0", 15<<10) + `"}`
+	ways := []string{"close", "reset", "half close", "release", "release, unread"}
 	for _, stage := range []string{"attempt out or between two", "slow dial", "an old process that drains"} {
 		for _, player := range []bool{false, true} {
 			for _, grace := range []string{"1ms", "3s"} {
@@ -110,7 +103,12 @@
 					left := map[string]time.Time{}
 					var mu sync.Mutex
 					var all sync.WaitGroup
-					for n := range each {
+					flood := way == "release, unread" // it asks and does not listen, so it is not read from
+					sessions := each
+					if flood {
+						sessions = few
+					}
+					for n := range sessions {
 						s := speak(t, p, player)
 						id := fmt.Sprintf("%016x", n+1)
 						all.Go(func() {
@@ -122,6 +120,12 @@
 							} else {
 								c = s.(frameSpeaker).Conn.(*net.TCPConn)
 							}
+							if flood {
+								c.SetReadBuffer(1 << 12)
+								for range 400 {
+									s.say(ping)
+								}
+							}
 							at := time.Now()
 							switch way {
 							case "close":
@@ -131,14 +135,14 @@
 								c.Close()
 							case "half close":
 								c.CloseWrite()
-							case "release":
+							case "release", "release, unread":
 								s.say(fmt.Sprintf(`{"type":"release","id":"%s","fields":{},"cause":16}`, id))
 							}
 							mu.Lock()
 							left[id] = at
 							mu.Unlock()
 						})
-						if stage == "an old process that drains" && n == each/2 {
+						if stage == "an old process that drains" && n == sessions/2 {
 							p.signals <- syscall.SIGTERM
 						}
 					}
@@ -163,7 +167,7 @@
 					if player {
 						front = "frames, grace " + grace
 					}
-					t.Logf("%s | %s | %s | begun at all %d of %d | after leaving %d, at most %v", stage, front, way, len(b.last), each, after, most)
+					t.Logf("%s | %s | %s | begun at all %d of %d | after leaving %d, at most %v", stage, front, way, len(b.last), sessions, after, most)
 					if most > 100*time.Millisecond {
 						t.Errorf("%s, %s, %s: %v", stage, front, way, most)
 					}
