--- a/control/control.go
+++ b/control/control.go
@@ -63,7 +63,7 @@
 	freshS     = 2     // s for which a report spares a probe at an arrival
 	emptyPart  = 0.15  // of what a server was taken to be asked for: under it, it has just started
 	emptyFrom  = 8     // sessions that it was taken to have, at the least; fewer end by chance
-	lotS       = 8     // s in which a front is taken to have one viewer for a cold server
+	viewerS    = 8     // s in which a front is taken to have one viewer for a cold server
 	crowdS     = 1     // s in which it is taken to have no more arrivals than one
 	meanShare  = 0.25  // weight of one report in the mean use of the fleet
 	floodTimes = 6     // times a tenant's share from which arrivals are a flood; few of them are within it
@@ -186,10 +186,10 @@
 	c.account(sv)
 }
 
-// chill takes a server as just started. It guards against pushing over a
+// markCold takes a server as just started. It guards against pushing over a
 // process that restarted before the list says so; it costs some pace on a
 // server that only broke a connection.
-func (c *Controller) chill(sv *server, at float64) {
+func (c *Controller) markCold(sv *server, at float64) {
 	sv.coldAt = max(sv.coldAt, at)
 	sv.coldTil = max(sv.coldTil, at+c.set.WarmAfterS)
 }
@@ -203,16 +203,16 @@
 	return c.set.WarmAfterS * float64(c.set.Fronts) / rate
 }
 
-// lot tells whether a session may be sent to a cold server at all. Each front's
+// admitCold tells whether a session may be sent to a cold server at all. Each front's
 // pace allows a first send at once, and many fronts have one to make when a
 // server is listed or all others are full. It harms where few viewers come: a
 // new server fills more slowly.
-func (c *Controller) lot(s *session, sv *server) bool {
+func (c *Controller) admitCold(s *session, sv *server) bool {
 	crowd := 0.0 // where this front's viewers come at once, those of all do
 	for _, times := range c.arrivals {
 		crowd += float64(len(since(times, c.now-crowdS)))
 	}
-	part := lotS / c.pace(sv) / max(crowd, 1)
+	part := viewerS / c.pace(sv) / max(crowd, 1)
 	return c.now >= sv.coldTil || c.due(sv) || chance(c.seed^uint64(s.id), uint64(sv.Server)) < part
 }
 
@@ -474,7 +474,7 @@
 func (c *Controller) holders(s *session) (list []candidate, later float64) {
 	later = math.Inf(1)
 	for _, sv := range c.holdersOf(s) {
-		if !c.usable(s, sv) || !c.lot(s, sv) {
+		if !c.usable(s, sv) || !c.admitCold(s, sv) {
 			continue
 		}
 		if c.paced(sv) && sv.nextSend > c.now {
@@ -688,7 +688,7 @@
 		if e.Confined {
 			return
 		}
-		c.chill(sv, c.now)
+		c.markCold(sv, c.now)
 	case TimedOut:
 		if c.quiet(sv, 0) < patienceS {
 			return
@@ -776,7 +776,7 @@
 			tight = max(tight, v)
 			kb := v * c.link(sv)
 			if c.emptied(sv, kb, at) { // it restarted, and the list hides it
-				c.chill(sv, at)
+				c.markCold(sv, at)
 			}
 			c.fleetUse.add(min(v, 2) * c.links())
 			if c.set.Fields[i] == "x0" || v < capped || kb > sv.own+c.othersOn(sv) {
--- a/control/state.go
+++ b/control/state.go
@@ -262,7 +262,7 @@
 // every front's pace ended before the process was warm, by as long as it had been down.
 func (c *Controller) heard(sv *server) {
 	if max(sv.heardAt, sv.SinceS) < sv.downAt {
-		c.chill(sv, c.now)
+		c.markCold(sv, c.now)
 	}
 	sv.heardAt, c.lost[sv.Zone] = c.now, 0
 }
@@ -493,7 +493,7 @@
 
 // welcome takes a server as just started, as its list tells.
 func (c *Controller) welcome(sv *server, n Entry) {
-	c.chill(sv, n.SinceS)
+	c.markCold(sv, n.SinceS)
 	sv.restTil, c.lost[n.Zone], c.lostTil[n.Zone], sv.backAt = 0, 0, 0, 0
 	if n.Back { // it was restarted while it was out: what reports said of it is of before
 		sv.backAt, sv.others, sv.seenAt = c.now, 0, c.now
--- a/internal/fleettest/scenario_test.go
+++ b/internal/fleettest/scenario_test.go
@@ -162,8 +162,8 @@
 		{"ops-figures", "figures\" broken:  shed", []Patch{{"internal/broker/counts.go", "		c.Refused[class].Add(1)\n", ""}}},
 		{"ops-figures", "figures\" broken:  active of m", []Patch{{"internal/server/operation.go", "Active: c.Open + c.Playing", "Active: c.Open"}}},
 		{"hidden-restart", `"cold" broken`, []Patch{
-			{"control/control.go", "		c.chill(sv, c.now)\n", ""},
-			{"control/state.go", "		c.chill(sv, c.now)\n", ""},
+			{"control/control.go", "		c.markCold(sv, c.now)\n", ""},
+			{"control/state.go", "		c.markCold(sv, c.now)\n", ""},
 		}},
 	} {
 		if *onlyOne != "" && e.scenario != *onlyOne {
