Call what is handed over a Handover, who takes it the successor, a stand a stall

Estate, heir, bequeath, inherit and Stood were this project's own words for known concepts. The file keeps its name, which processes of before read.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -42,8 +42,8 @@
 	Peaks    Peaks
 	Sites    Sites
 	Nodes    Nodes
-	Counts   *Counts      // nil: nobody asks
-	Hand     func(Estate) // takes what stands once a younger process takes over; must not wait; nil: none ever does
+	Counts   *Counts        // nil: nobody asks
+	Hand     func(Handover) // takes what stands once a younger process takes over; must not wait; nil: none ever does
 	Log      *zap.Logger
 }
 
@@ -72,8 +72,8 @@
 	counts   *Counts
 	stopping time.Time // when the drain was asked for; zero: it was not
 	leaving  bool      // what stands is left standing: a younger process takes it over
-	hand     func(Estate)
-	final    Estate                     // once drained is closed
+	hand     func(Handover)
+	final    Handover                   // once drained is closed
 	taken    map[control.SessionID]bool // over from older processes; they may have ended here
 	handed   map[control.SessionID]int  // by what cause sessions ended since they were handed over
 }
@@ -183,7 +183,7 @@
 		b.tell(control.Event{Kind: control.EvList, List: control.ListDelta, Entries: m.Entries})
 	case stood:
 		for _, p := range b.parts {
-			p.Stood(b.clock.now(), m.d)
+			p.Stalled(b.clock.now(), m.d)
 		}
 	case finish:
 		if b.stopping.IsZero() {
@@ -208,7 +208,7 @@
 	case <-b.drained:
 	default:
 		if b.leaving {
-			b.final = b.estate(true)
+			b.final = b.handover(true)
 		}
 		b.closeStanding()
 		close(b.drained)
--- a/internal/broker/hand.go
+++ b/internal/broker/hand.go
@@ -27,8 +27,8 @@
 	Host    string            `cbor:"12,keyasint"` // where its viewer is
 }
 
-// Estate is all that a process that leaves hands over.
-type Estate struct {
+// Handover is all that a process that leaves hands over.
+type Handover struct {
 	Standing []Standing                `cbor:"1,keyasint"`
 	Over     map[control.SessionID]int `cbor:"2,keyasint"` // of what was handed over before: the cause by which it has ended
 	Last     bool                      `cbor:"3,keyasint"` // the process ends with this
@@ -37,13 +37,13 @@
 // hosted is a client that knows where its viewer is.
 type hosted interface{ From() string }
 
-// Estate is what stands at the end. It is for after Drained.
-func (b *Broker) Estate() Estate { return b.final }
+// Handover is what stands at the end. It is for after Drained.
+func (b *Broker) Handover() Handover { return b.final }
 
-// estate is what stands now. Guard: a player who may come back to its session is not
+// handover is what stands now. Guard: a player who may come back to its session is not
 // handed over, since the socket's own state isn't: its session is ended as at any stop.
-func (b *Broker) estate(last bool) Estate {
-	e := Estate{Over: maps.Clone(b.handed), Last: last}
+func (b *Broker) handover(last bool) Handover {
+	e := Handover{Over: maps.Clone(b.handed), Last: last}
 	for _, s := range b.sessions {
 		h, ok := s.client.(hosted)
 		if !s.playing || !ok || s.Grace > 0 {
@@ -61,10 +61,10 @@
 
 // Adopt takes what an older process of this manager hands over. client carries the ends
 // to a viewer at a host.
-func (b *Broker) Adopt(e Estate, client func(host string) Client) { b.inbox.Force(adopt{e, client}) }
+func (b *Broker) Adopt(e Handover, client func(host string) Client) { b.inbox.Force(adopt{e, client}) }
 
 type adopt struct {
-	Estate
+	Handover
 	client func(string) Client
 }
 
@@ -110,7 +110,7 @@
 	if b.hand == nil {
 		return
 	}
-	e := b.estate(false)
+	e := b.handover(false)
 	b.handed = make(map[control.SessionID]int)
 	b.hand(e)
 }
--- a/internal/broker/hand_test.go
+++ b/internal/broker/hand_test.go
@@ -19,8 +19,8 @@
 // names it.
 func TestHandOver(t *testing.T) {
 	old, f := bed(t)
-	var first Estate
-	old.hand = func(e Estate) { first = e }
+	var first Handover
+	old.hand = func(e Handover) { first = e }
 	for id := control.SessionID(1); id <= 3; id++ {
 		old.ask(f, id, feed, -1, 0)
 		old.tells(id, Started, 0)
@@ -36,7 +36,7 @@
 	old.handle(Report{Kind: Ended, Server: at2, ID: 2, Status: control.Reset, Cause: CauseCut})
 	old.stopping = old.stopping.Add(-old.stay())
 	old.checkDrained()
-	last := old.Estate()
+	last := old.Handover()
 	if got := f.take(); len(last.Standing) != 2 || !last.Last || last.Over[2] != CauseCut || got != "over 2" {
 		t.Fatalf("%+v; told %s", last, got)
 	}
--- a/internal/broker/part.go
+++ b/internal/broker/part.go
@@ -27,8 +27,8 @@
 	Reported(now time.Time, r *Report)
 	// Listed is told of changes to the list of nodes.
 	Listed(now time.Time, entries []control.Entry)
-	// Stood is told that the program stood still for a time.
-	Stood(now time.Time, d time.Duration)
+	// Stalled is told that the program stood still for a time.
+	Stalled(now time.Time, d time.Duration)
 	// Tick has the part look and plan. It returns what the module is to be told.
 	Tick(now time.Time, v View) []control.Event
 }
@@ -52,7 +52,7 @@
 func (Unmoved) Over(time.Time, int, time.Duration, bool)    {}
 func (Unmoved) Reported(time.Time, *Report)                 {}
 func (Unmoved) Listed(time.Time, []control.Entry)           {}
-func (Unmoved) Stood(time.Time, time.Duration)              {}
+func (Unmoved) Stalled(time.Time, time.Duration)            {}
 func (Unmoved) Tick(time.Time, View) (none []control.Event) { return none }
 
 // view is the broker as parts see it.
@@ -90,8 +90,8 @@
 	return own
 }
 
-// Stood tells the broker that the program stood still for a time.
-func (b *Broker) Stood(d time.Duration) { b.inbox.Force(stood{d}) }
+// Stalled tells the broker that the program stood still for a time.
+func (b *Broker) Stalled(d time.Duration) { b.inbox.Force(stood{d}) }
 
 type stood struct{ d time.Duration }
 
--- a/internal/broker/sites.go
+++ b/internal/broker/sites.go
@@ -128,8 +128,8 @@
 	return 0, false // moot, or cancelled: this manager's own doing
 }
 
-// Stood is part of Part.
-func (s *sites) Stood(time.Time, time.Duration) { s.watch.Forget() }
+// Stalled is part of Part.
+func (s *sites) Stalled(time.Time, time.Duration) { s.watch.Forget() }
 
 // Tick is part of Part.
 func (s *sites) Tick(now time.Time, v View) []control.Event {
--- a/internal/broker/sites_test.go
+++ b/internal/broker/sites_test.go
@@ -92,7 +92,7 @@
 	}
 	round(control.Full)
 	round(control.ConnectFailed)
-	s.Stood(now, 6*time.Second)
+	s.Stalled(now, 6*time.Second)
 	round(control.ConnectFailed)
 	told("b thin")
 	for i := range list {
--- a/internal/handover/process.go
+++ b/internal/handover/process.go
@@ -111,10 +111,10 @@
 	return o, nil
 }
 
-// Heir is who takes over what stands: the one that was chosen last while it serves, else
+// Successor is who takes over what stands: the one that was chosen last while it serves, else
 // the youngest, one that serves before one that starts; 0: nobody. Guard: two that take it
 // would both tell the ends and both count the sessions.
-func (o Others) Heir(last int64) int64 {
+func (o Others) Successor(last int64) int64 {
 	switch {
 	case slices.Contains(o.Younger, last):
 		return last
@@ -132,14 +132,14 @@
 	return n, ok && err == nil && !strings.HasSuffix(name, ".new")
 }
 
-// StoreEstate hands over to the process that was born at heir. Each giver has a file of its
-// own, and each file one heir, so that no two meet at one.
-func (p *Process) StoreEstate(e broker.Estate, heir int64) error {
-	return store(p.folder, fmt.Sprintf("%s-%d-%d", estateFile, p.born, heir), e)
+// StoreHandover hands over to the process that was born at successor. Each giver has a file of its
+// own, and each file one successor, so that no two meet at one.
+func (p *Process) StoreHandover(e broker.Handover, successor int64) error {
+	return store(p.folder, fmt.Sprintf("%s-%d-%d", handoverFile, p.born, successor), e)
 }
 
-// Estate reads what an older process hands over to this one, if it was not read before.
-func (p *Process) Estate() (e broker.Estate, changed bool, err error) {
+// Handover reads what an older process hands over to this one, if it was not read before.
+func (p *Process) Handover() (e broker.Handover, changed bool, err error) {
 	entries, err := os.ReadDir(p.folder.path)
 	if err != nil {
 		return e, false, nil // Others tells
@@ -147,11 +147,11 @@
 	mine := fmt.Sprintf("-%d", p.born)
 	for _, entry := range entries {
 		name := entry.Name()
-		// One of a program that names no heir is for whoever sees it.
-		if name != estateFile && !(strings.HasPrefix(name, estateFile+"-") && strings.HasSuffix(name, mine)) {
+		// One of a program that names no successor is for whoever sees it.
+		if name != handoverFile && !(strings.HasPrefix(name, handoverFile+"-") && strings.HasSuffix(name, mine)) {
 			continue
 		}
-		e, changed, bad := read[broker.Estate](p.folder, name)
+		e, changed, bad := read[broker.Handover](p.folder, name)
 		if changed {
 			return e, true, nil
 		}
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -24,9 +24,9 @@
 	version   = 1
 	headBytes = len(magic) + 2 + 4 + 8 // and the version, the body's length, its hash
 	// mostBytes bounds a file: some ten thousand sessions.
-	mostBytes  = 8 << 20
-	stateFile  = "orders"
-	estateFile = "estate"
+	mostBytes    = 8 << 20
+	stateFile    = "orders"
+	handoverFile = "estate"
 )
 
 // State is what was ordered by hand.
@@ -152,7 +152,7 @@
 func (f *Folder) Forget() {
 	entries, _ := os.ReadDir(f.path)
 	for _, e := range entries {
-		if strings.HasPrefix(strings.TrimPrefix(e.Name(), "."), estateFile) {
+		if strings.HasPrefix(strings.TrimPrefix(e.Name(), "."), handoverFile) {
 			os.Remove(filepath.Join(f.path, e.Name()))
 		}
 	}
--- a/internal/handover/state_test.go
+++ b/internal/handover/state_test.go
@@ -80,22 +80,22 @@
 }
 
 // What is handed over comes as it was, and is seen once.
-func TestEstate(t *testing.T) {
+func TestHandoverFile(t *testing.T) {
 	below := t.TempDir()
 	old, young := enter(t, below, 1), enter(t, below, 2)
-	want := broker.Estate{Last: true, Over: map[control.SessionID]int{3: 41},
+	want := broker.Handover{Last: true, Over: map[control.SessionID]int{3: 41},
 		Standing: []broker.Standing{{ID: 1, Class: 1, Team: -1, Key: "7f", Title: 0x7f, Home: 2, Span: 3, MaxRung: 4, Server: 9, Rung: 2, Since: 5, Host: "127.0.0.9"}}}
-	if _, changed, err := young.Estate(); changed || err != nil {
+	if _, changed, err := young.Handover(); changed || err != nil {
 		t.Fatal("there is one before it was stored", err)
 	}
-	if err := old.StoreEstate(want, young.born); err != nil {
+	if err := old.StoreHandover(want, young.born); err != nil {
 		t.Fatal(err)
 	}
-	got, changed, err := young.Estate()
+	got, changed, err := young.Handover()
 	if err != nil || !changed || !reflect.DeepEqual(got, want) {
 		t.Errorf("%+v, %v, %v", got, changed, err)
 	}
-	if _, changed, _ := young.Estate(); changed {
+	if _, changed, _ := young.Handover(); changed {
 		t.Error("it is handed over twice")
 	}
 	if err := os.WriteFile(filepath.Join(old.folder.path, ".estate-1-25"), nil, 0o600); err != nil { // half written
--- a/internal/media/ends_test.go
+++ b/internal/media/ends_test.go
@@ -207,7 +207,7 @@
 	stood := 0
 	for name, drained := range map[string]bool{"nothing has changed": false, "it drains by now": true} {
 		n, _, _, reports := bed(t)
-		n.pool.cfg.Stood = func(time.Duration) { stood++ }
+		n.pool.cfg.Stalled = func(time.Duration) { stood++ }
 		n.conns = []*conn{stub()}
 		n.pool.watch.Start(time.Now().Add(-6 * time.Second))
 		n.handle(try(1))
--- a/internal/media/pool.go
+++ b/internal/media/pool.go
@@ -38,7 +38,7 @@
 	Shared         func() bool   // another process has its half of the descriptors; nil: none ever has
 	Tried          func()        // told of each SETUP that is written whole; nil: nobody
 	Report         func(broker.Report)
-	Stood          func(time.Duration) // told when the program has stood still; Fresh is to follow; nil: nobody
+	Stalled        func(time.Duration) // told when the program has stood still; Fresh is to follow; nil: nobody
 	Log            *zap.Logger
 }
 
@@ -109,8 +109,8 @@
 func (p *Pool) beat(now time.Time) (held bool) {
 	if stood := p.watch.Beat(now); stood > 0 {
 		p.cfg.Log.Warn("the program stood still; the list is asked again", zap.Duration("for", stood))
-		if p.cfg.Stood != nil {
-			p.cfg.Stood(stood)
+		if p.cfg.Stalled != nil {
+			p.cfg.Stalled(stood)
 		}
 	}
 	return p.watch.Held(now)
--- a/internal/server/operation.go
+++ b/internal/server/operation.go
@@ -48,11 +48,11 @@
 	fresh  chan struct{} // closed once the coordinator has answered since the start
 	orders *duty.Orders  // the list's actor owns it
 
-	mu    sync.Mutex
-	state handover.State // what was ordered
-	left  bool           // a younger process takes over
-	heir  int64          // which one: when it was born
-	final bool           // it has handed over all, and inherits no more
+	mu        sync.Mutex
+	state     handover.State // what was ordered
+	left      bool           // a younger process takes over
+	successor int64          // which one: when it was born
+	final     bool           // it has handed over all, and takes over no more
 }
 
 // newOperation returns nil where nothing is run by hand.
@@ -190,7 +190,7 @@
 			if changed := o.take(); changed != nil {
 				o.nodes.After(func() { o.apply(changed) })
 			}
-			o.inherit()
+			o.takeOver()
 			if before && !o.shared.Load() {
 				o.folder.Forget() // what a process that was killed left is for nobody else
 			}
@@ -247,15 +247,15 @@
 	return stored.Nodes
 }
 
-// inherit takes what an older process hands over.
-func (o *operation) inherit() {
+// takeOver takes what an older process hands over.
+func (o *operation) takeOver() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.final {
 		return
 	}
 	for {
-		e, changed, err := o.self.Estate()
+		e, changed, err := o.self.Handover()
 		if err != nil {
 			trouble(o.log, err)
 		}
@@ -268,32 +268,32 @@
 
 // Hand returns what takes what stands once a younger process takes over; nil where none
 // ever does. It does not wait: the disk may.
-func (o *operation) Hand() func(broker.Estate) {
+func (o *operation) Hand() func(broker.Handover) {
 	if o == nil || o.folder == nil {
 		return nil
 	}
-	return func(e broker.Estate) { go o.bequeath(e) }
+	return func(e broker.Handover) { go o.handOver(e) }
 }
 
 // last hands over what stands when the broker has ended, if it has handed over before.
 func (o *operation) last(core *broker.Broker) {
 	if o != nil && o.left {
-		o.bequeath(core.Estate())
+		o.handOver(core.Handover())
 	}
 }
 
-func (o *operation) bequeath(e broker.Estate) {
+func (o *operation) handOver(e broker.Handover) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.folder == nil || o.final {
 		return
 	}
 	o.final = e.Last
-	// Guard: the heir may have ended, or may end itself, since it was chosen.
+	// Guard: the successor may have ended, or may end itself, since it was chosen.
 	if others, err := o.self.Others(); err == nil {
-		o.heir = others.Heir(o.heir)
+		o.successor = others.Successor(o.successor)
 	}
-	if err := o.self.StoreEstate(e, o.heir); err != nil {
+	if err := o.self.StoreHandover(e, o.successor); err != nil {
 		trouble(o.log, err)
 	}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -100,9 +100,9 @@
 		NoProbes:   !cfg.Settings.Probes,
 		Shared:     hand.Shared, Tried: counts.Tried,
 		Report: func(r broker.Report) { core.Report(r) }, Log: log,
-		Stood: func(d time.Duration) {
+		Stalled: func(d time.Duration) {
 			coordinator.Ask()
-			core.Stood(d)
+			core.Stalled(d)
 		},
 	})
 	core, err := broker.New(broker.Config{
--- a/internal/server/signal_test.go
+++ b/internal/server/signal_test.go
@@ -39,9 +39,9 @@
 	}
 }
 
-// A process that was asked to end is no heir to an older one, also where it was asked
+// A process that was asked to end is no successor to an older one, also where it was asked
 // before it served.
-func TestWhoEndsIsNoHeir(t *testing.T) {
+func TestWhoEndsIsNoSuccessor(t *testing.T) {
 	cfg := config.Config{Name: "n1", Listen: "127.0.0.1:0", Admin: "127.0.0.1:0", Temp: t.TempDir(), MemoryMB: 1 << 20}
 	folder, err := handover.Open(cfg.Temp, cfg.Name, cfg.Listen)
 	if err != nil {
@@ -101,7 +101,7 @@
 		if err := o.Drain(t.Context(), true); err != nil || o.Gate().Takes() || !o.Ready() || o.leave() {
 			t.Error(name, "an order does not count:", err)
 		}
-		o.bequeath(broker.Estate{})
+		o.handOver(broker.Handover{})
 		o.close()
 		codes := map[any]int{}
 		for _, line := range told.All() {
@@ -113,9 +113,9 @@
 	}
 }
 
-// What stands has one heir, also where several younger processes serve, the heir ends
+// What stands has one successor, also where several younger processes serve, the successor ends
 // before the last word, or two hand over at once.
-func TestOneHeir(t *testing.T) {
+func TestOneSuccessor(t *testing.T) {
 	cfg := config.Config{Name: "n1", Listen: "127.0.0.1:0", Admin: "127.0.0.1:0", Temp: t.TempDir(), MemoryMB: 1 << 20}
 	var all [4]*operation
 	for i := range all {
@@ -123,13 +123,13 @@
 		defer all[i].close()
 	}
 	hand := func(from, n int, last bool) {
-		all[from].bequeath(broker.Estate{Standing: make([]broker.Standing, n), Last: last})
+		all[from].handOver(broker.Handover{Standing: make([]broker.Standing, n), Last: last})
 	}
 	got := func(want string) {
 		t.Helper()
 		var took []string
 		for i, o := range all {
-			for e, changed, err := o.self.Estate(); changed || err != nil; e, changed, err = o.self.Estate() {
+			for e, changed, err := o.self.Handover(); changed || err != nil; e, changed, err = o.self.Handover() {
 				took = append(took, fmt.Sprint(i, " takes ", len(e.Standing)))
 			}
 		}
@@ -147,7 +147,7 @@
 	ends(all[1])
 	hand(1, 2, false)
 	hand(0, 3, true)
-	got("2 takes 3, 3 takes 2") // 2 has been the heir of 0, and serves
+	got("2 takes 3, 3 takes 2") // 2 has been the successor of 0, and serves
 	ends(all[2])
 	hand(1, 4, true)
 	hand(2, 5, false)
