Count racks of unknown use at the fleet's mean, not by their listed links

One id traced through a manager's decisions: every holder at the same 0.400 of its link, rack 1 at 0.452 and rack 0 at 0.516; sent to rack 1, answered full, sent to rack 0. Of 1448 sends 1419 took the first of that order; the smallest racks got 2.95 sends a MB/s of links, the largest 1.48.

Cause: othersOnRack, with no word of any rack, summed the servers' even shares and divided by the mean uplink, so the racks with the smallest listed links looked emptiest, to all managers alike.

Change: with a mean use of the fleet known, each rack counts as having it, as servers do.

The new test fails without the change: 100 fronts of 100 choose one rack.

--- a/control/control.go
+++ b/control/control.go
@@ -253,6 +253,9 @@
 	if c.rackUse.seen {
 		return max(c.rackUse.v/c.links()*c.set.RackKB-r.own, 0)
 	}
+	if c.fleetUse.seen { // how racks differ is not told; a guess sends all fronts to the same one
+		return max(c.fleetUse.v/float64(len(c.racks))-r.own, 0)
+	}
 	sum := 0.0
 	for _, sv := range r.servers {
 		sum += c.othersOn(sv)
--- a/control/size_test.go
+++ b/control/size_test.go
@@ -115,6 +115,27 @@
 	}
 }
 
+// Where no report tells of uplinks, fronts don't all take the same rack for the
+// emptiest because of its listed links.
+func TestRacksOfUnknownUseLookAlike(t *testing.T) {
+	sent := make([]int, 2)
+	for seed := uint64(1); seed <= 100; seed++ {
+		b := many(t)
+		b.c.seed, b.c.dear, b.c.set.Fields = seed, true, []string{"x0"}
+		e := Event{Kind: EvList, List: ListFull}
+		for i := range 12 {
+			e.Entries = append(e.Entries, Entry{Server: Server(i + 1), State: Ready, Cell: i, Weight: 1 + float64(i%2)/4})
+		}
+		b.do(e)
+		b.do(Event{Kind: EvProbed, Server: 1, Load: []float64{0.5}})
+		got := b.mustSend(b.do(Event{Kind: EvArrive, Session: 1, Class: 1, Title: 9, LeftS: 5, Span: 12, MaxRung: 4}))
+		sent[int(got-1)%2]++
+	}
+	if min(sent[0], sent[1]) < 20 {
+		t.Errorf("a hundred fronts sent %v to the two racks", sent)
+	}
+}
+
 // Each front's first send to a server that has just started is drawn by lot: a
 // hundred of them at once would push it over.
 func TestFirstSendsToColdServerByLot(t *testing.T) {
