--- a/control/control.go
+++ b/control/control.go
@@ -253,6 +253,9 @@
 	if c.rackUse.seen {
 		return max(c.rackUse.v/c.links()*c.set.RackKB-r.own, 0)
 	}
+	if c.fleetUse.seen { // how racks differ is not told; a guess sends all fronts to the same one
+		return max(c.fleetUse.v/float64(len(c.racks))-r.own, 0)
+	}
 	sum := 0.0
 	for _, sv := range r.servers {
 		sum += c.othersOn(sv)
@@ -713,9 +716,8 @@
 // could not be reached while another zone is heard of: at size each front would fail
 // on each server else. It harms where just these were at fault.
 func (c *Controller) rest(sv *server, e Event) {
-	sv.restTil = c.now + restS
-	silent := e.Status == ConnectFailed
-	if sv.noteDown(c.now, e); silent {
+	silent := sv.failed(c.now, e)
+	if silent {
 		c.lost[sv.Zone]++
 	}
 	lives := func(o *server) bool { return o.State == Ready && o.Zone != sv.Zone && c.lost[o.Zone] == 0 }
--- a/control/state.go
+++ b/control/state.go
@@ -250,11 +250,13 @@
 	return all
 }
 
-// noteDown notes what a failure says of a server's process.
-func (sv *server) noteDown(now float64, e Event) {
+// failed has a server rest, and tells whether it could not be reached.
+func (sv *server) failed(now float64, e Event) (silent bool) {
+	sv.restTil = now + restS
 	if e.Down {
 		sv.downAt = now
 	}
+	return e.Status == ConnectFailed
 }
 
 // heard notes a sign of life of a server, and so of its zone. The first one since its process
