--- a/control/cold_test.go
+++ b/control/cold_test.go
@@ -153,7 +153,8 @@
 		delete(nodes[s.node], id)
 		node := s.node
 		s.node = 0
-		handle(s.front, Event{Kind: EvEnd, Session: id, Attempt: s.attempt - 1, Server: Server(node), Status: st, Finished: finished})
+		handle(s.front, Event{Kind: EvEnd, Session: id, Attempt: s.attempt - 1, Server: Server(node), Status: st,
+			Down: st == ConnectFailed, Finished: finished}) // a node that is down refuses connections
 	}
 	handle = func(f *coldFront, e Event) {
 		if f.dead {
@@ -168,7 +169,7 @@
 				node := int(a.Server)
 				at(now+2*coldWay, func() {
 					if down(node) {
-						handle(f, Event{Kind: EvProbed, Server: a.Server, Status: ConnectFailed})
+						handle(f, Event{Kind: EvProbed, Server: a.Server, Status: ConnectFailed, Down: true})
 						return
 					}
 					handle(f, Event{Kind: EvProbed, Server: a.Server, Load: load(node)})
