media: split node.go into the actor, its connections and its sessions

Change: functions moved as they are: node_connections.go opens, checks and closes connections, node_sessions.go has set-ups and established sessions, node.go the actor and its messages. Three injected faults of the scenarios name the new file; what they replace is the same.

--- a/internal/fleettest/scenario_test.go
+++ b/internal/fleettest/scenario_test.go
@@ -140,11 +140,11 @@
 		scenario, rule string
 		patches        []Patch
 	}{
-		{"ends-reset-2", "over: not seen", []Patch{{"internal/media/node.go",
+		{"ends-reset-2", "over: not seen", []Patch{{"internal/media/node_connections.go",
 			"return n.lossCountAtDial < n.lossCount && len(n.established) > 0", "return false"}}},
-		{"ends-mute-orphan", "over: not seen", []Patch{{"internal/media/node.go",
+		{"ends-mute-orphan", "over: not seen", []Patch{{"internal/media/node_connections.go",
 			"if s.conn == nil || s.conn == c || s.conn.unusable {", "if c != nil && s.conn == c {"}}},
-		{"ends-mute-2", "over: not seen", []Patch{{"internal/media/node.go", "case !c.unresponsiveSince.IsZero() && c.openSetUps", "case false && c.openSetUps"}}},
+		{"ends-mute-2", "over: not seen", []Patch{{"internal/media/node_connections.go", "case !c.unresponsiveSince.IsZero() && c.openSetUps", "case false && c.openSetUps"}}},
 		{"ends-viewer", "over: not seen", []Patch{{"internal/front/jsonl/jsonl.go", "	f.resendEnds(c.takeUnacknowledged())\n", "	c.takeUnacknowledged()\n"}}},
 		{"paused", `"drains" broken`, []Patch{{"internal/media/pool.go", "return p.pauseWatch.Stale(now)", "return false"}}},
 		{"cold", `"cold" broken`, []Patch{
