Claim players' sessions between the processes of an upgrade

One that stood was cut, and set up again as well. Cause: what a process knows of players that may come back (set-ups in flight, kept answers, established sessions) was its own. New sockets go to the other process, which took the set-up for a new one. Change: a process that does not know a player's set-up claims it from the others that are alive (broker/claim.go); the owner goes on with it and treats the claimant as the player's connection (peers.go). Messages pass by a file for each pair (handover/mail.go). While an older process drains it stores its players' sessions and answers (player_handover.go); the younger one acts on the last. Why it works: nothing is set up before each process that may have it has said that it does not, or has ended and left what it had. Each claim has a number, so no late reply is taken for an answer. Related paths: established sessions, kept failures, the younger process as owner, an older one that has ended or was killed, three processes, a player that comes back again and again.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -44,8 +44,10 @@
 	Peaks        PeakConfig
 	Sites        SiteConfig
 	Nodes        Nodes
-	Counters     *Counters      // nil: outcomes are not counted
-	SendHandover func(Handover) // sends the first Handover to a successor (the last: Broker.FinalHandover); must not block; nil: there are no successors
+	Counters     *Counters            // nil: outcomes are not counted
+	SendHandover func(Handover)       // sends the first Handover to a successor (the last: Broker.FinalHandover); must not block; nil: there are no successors
+	Peers        Peers                // other processes of this manager; nil: there are none that know of players
+	SendPlayers  func(PlayerHandover) // sends a PlayerHandover to a successor before the last one (Broker.FinalPlayerHandover); must not block; nil: there are no successors
 	Log          *zap.Logger
 }
 
@@ -78,6 +80,19 @@
 	finalHandover      Handover                   // valid once drained is closed
 	adoptedIDs         map[control.SessionID]bool // sessions adopted from predecessors, also those that have ended since
 	endedSinceHandover map[control.SessionID]int  // causes of the ends of sessions that have ended since the first Handover; nil: none was sent
+
+	peers             Peers
+	peersAlive        []PeerID
+	peersLeaving      map[PeerID]bool            // those that have handed over for the last time
+	playersOf         map[PeerID]*PlayerHandover // what a process hands over if it ends without a final one
+	claims            map[control.SessionID]*claim
+	claimCount        uint64
+	sendPlayers       func(PlayerHandover)
+	handsPlayersOver  bool                       // a successor takes over the sessions of players that may reconnect
+	playersChanged    bool                       // such sessions have changed since the last PlayerHandover
+	leftToSuccessor   bool                       // the final PlayerHandover is made
+	finalPlayers      PlayerHandover             // valid once drained is closed
+	playersHandedOver map[control.SessionID]bool // the sessions in it
 }
 
 // New returns a Broker, which handles nothing until Run is called.
@@ -101,6 +116,11 @@
 		drainTimes:   cfg.Drain,
 		counters:     cfg.Counters,
 		sendHandover: cfg.SendHandover,
+		sendPlayers:  cfg.SendPlayers,
+		peers:        cfg.Peers,
+		peersLeaving: make(map[PeerID]bool),
+		playersOf:    make(map[PeerID]*PlayerHandover),
+		claims:       make(map[control.SessionID]*claim),
 		planners:     newPlanners(&cfg, settings.Managers, cfg.Log),
 	}
 	for i := range b.planners {
@@ -131,8 +151,11 @@
 func (b *Broker) Drain() { b.inbox.Force(drainRequest{}) }
 
 // DrainForSuccessor is Drain where a successor takes over. Established sessions are left
-// to the successor, so that the broker need not wait for DrainTimes.KeepFor.
-func (b *Broker) DrainForSuccessor() { b.inbox.Force(drainRequest{forSuccessor: true}) }
+// to the successor, so that the broker need not wait for DrainTimes.KeepFor. withPlayers: also
+// those of players that may reconnect.
+func (b *Broker) DrainForSuccessor(withPlayers bool) {
+	b.inbox.Force(drainRequest{forSuccessor: true, withPlayers: withPlayers})
+}
 
 // Drained returns a channel that is closed once the drain has ended: its time is over and
 // all requests accepted before and during it are answered.
@@ -141,7 +164,7 @@
 // Messages to the actor, besides the exported types.
 type (
 	connectionLost struct{ client Client }
-	drainRequest   struct{ forSuccessor bool }
+	drainRequest   struct{ forSuccessor, withPlayers bool }
 )
 
 // Run handles messages and timers until ctx is done.
@@ -194,11 +217,19 @@
 			b.drainStart = b.clock.now()
 			if m.forSuccessor {
 				b.startHandover()
+				b.handsPlayersOver, b.playersChanged = m.withPlayers, true
+				b.sendPlayerHandover()
 			}
 			b.timers.add(b.drainStart.Add(b.minDrainTime()), timerDrain, 0, 0)
 		}
 	case adoption:
 		b.handleAdoption(m)
+	case playerAdoption:
+		b.handlePlayerAdoption(m)
+	case peerMessage:
+		b.handlePeerMessage(m)
+	case peersUpdate:
+		b.handlePeersUpdate(m.alive)
 	case statsRequest:
 		m.result <- b.collectStats()
 	}
@@ -215,6 +246,9 @@
 		if b.hasSuccessor {
 			b.finalHandover = b.buildHandover(true)
 		}
+		if b.handsPlayersOver {
+			b.finishPlayerHandover()
+		}
 		b.endEstablished()
 		close(b.drained)
 	}
@@ -240,6 +274,9 @@
 		if _, ok := s.client.(hostedClient); ok && b.hasSuccessor && s.Grace == 0 {
 			continue // handed over
 		}
+		if b.playersHandedOver[id] {
+			continue
+		}
 		if s.playing {
 			b.notifyEnded(s, Reply{Kind: ReplyEnded, ID: id, Cause: CauseInterrupted}) // client may be nil: the player's connection is lost
 			b.nodes.Release(s.server, id, CauseInterrupted)
@@ -315,7 +352,7 @@
 		case timerDeadline:
 			b.answerOverdue(t.session)
 		case timerGrace:
-			if s != nil && s.client == nil && s.disconnects == t.token {
+			if s != nil && s.client == nil && s.disconnects == t.token && !b.playersHandedOver[t.session] {
 				b.abandonSession(s)
 			}
 		case timerRecheck:
@@ -324,6 +361,12 @@
 			b.tickPlanner(int(t.token))
 		case timerForgetReply:
 			delete(b.endedReplies, t.session)
+		case timerClaim:
+			if c := b.claims[t.session]; c != nil {
+				b.giveUpAwaiting(c)
+			}
+		case timerPlayerHandover:
+			b.sendPlayerHandover()
 		}
 	}
 }
--- a/internal/broker/clock.go
+++ b/internal/broker/clock.go
@@ -21,14 +21,16 @@
 type timerKind uint8
 
 const (
-	timerWake        timerKind = iota // requested by the decision module; token is the module's
-	timerAttempt                      // the deadline of an attempt; token is its number
-	timerDeadline                     // the answer to the viewer is due
-	timerGrace                        // the grace of a disconnected player is over; token is session.disconnects at that time
-	timerRecheck                      // a deferred attempt checks its client again
-	timerForgetReply                  // a kept final reply is dropped
-	timerDrain                        // only wakes the loop, which checks whether the drain has ended
-	timerPlanner                      // a planner's tick is due; token is its index
+	timerWake           timerKind = iota // requested by the decision module; token is the module's
+	timerAttempt                         // the deadline of an attempt; token is its number
+	timerDeadline                        // the answer to the viewer is due
+	timerGrace                           // the grace of a disconnected player is over; token is session.disconnects at that time
+	timerRecheck                         // a deferred attempt checks its client again
+	timerForgetReply                     // a kept final reply is dropped
+	timerDrain                           // only wakes the loop, which checks whether the drain has ended
+	timerClaim                           // other processes have had their time to answer a claim
+	timerPlayerHandover                  // the next PlayerHandover before the final one is due
+	timerPlanner                         // a planner's tick is due; token is its index
 )
 
 type timer struct {
--- a/internal/broker/handover.go
+++ b/internal/broker/handover.go
@@ -44,10 +44,8 @@
 // once the channel of Drained is closed.
 func (b *Broker) FinalHandover() Handover { return b.finalHandover }
 
-// buildHandover returns a Handover with the sessions that are established now.
-//
-// Guard: a session whose player may reconnect (Grace over 0) is not handed over, since the
-// state of its socket is not: it ends as when the program stops without a successor.
+// buildHandover returns a Handover with the sessions that are established now, but for those
+// whose player may reconnect (Grace over 0): they are in a PlayerHandover.
 func (b *Broker) buildHandover(final bool) Handover {
 	result := Handover{Ended: maps.Clone(b.endedSinceHandover), Final: final}
 	for _, s := range b.sessions {
@@ -79,12 +77,6 @@
 
 func (b *Broker) handleAdoption(m adoption) {
 	now, added := b.clock.now(), 0
-	// Guard: IDs of adopted sessions are never forgotten: otherwise a session that has ended
-	// here would be adopted again if a later Handover, perhaps of another predecessor, still
-	// lists it.
-	if b.adoptedIDs == nil {
-		b.adoptedIDs = make(map[control.SessionID]bool)
-	}
 	for _, e := range m.Sessions {
 		if b.sessions[e.ID] != nil || b.adoptedIDs[e.ID] || e.Class < 0 || e.Class >= len(b.settings.Classes) || !b.nodes.AddEstablished(e.Server, e.ID) {
 			continue
@@ -98,7 +90,8 @@
 		if e.EstablishedAtNS > 0 {
 			s.establishedAt = now.Add(-max(time.Duration(now.UnixNano()-e.EstablishedAtNS), 0))
 		}
-		b.sessions[e.ID], b.adoptedIDs[e.ID] = s, true
+		b.sessions[e.ID] = s
+		b.rememberAdopted(e.ID)
 		b.dispatch(control.Event{Kind: control.EventEstablished, Session: e.ID, Class: e.Class, Tenant: e.Team, Title: e.Title,
 			HomeCell: e.Home, Copies: e.Copies, MaxRung: e.MaxRung, Server: e.Server, Rung: e.Rung})
 		added++
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -21,8 +21,9 @@
 // have ended.
 type session struct {
 	Request
-	client        Client // nil: the connection is lost, or the viewer has cancelled the request
-	disconnects   uint32 // how often the player's connection was lost
+	client        Client    // nil: the connection is lost, or the viewer has cancelled the request
+	requestedAt   time.Time // when the set-up was read on the client's connection
+	disconnects   uint32    // how often the player's connection was lost
 	deadline      time.Time
 	answered      bool  // the final answer is given, or none is needed
 	finalReply    Reply // for a player that reconnects
@@ -38,10 +39,9 @@
 	establishedAt time.Time       // zero: unknown
 }
 
-// handleRequest admits a new request, adds a session that is established already, or passes a
-// repeated request to its session.
+// handleRequest admits a new request, or passes a repeated one to its session. If other
+// processes of this manager may hold the session, they are asked first.
 func (b *Broker) handleRequest(r Request) {
-	now := b.clock.now()
 	if s := b.sessions[r.ID]; s != nil {
 		b.rejoin(s, r)
 		return
@@ -52,6 +52,21 @@
 		repeatReply(r.Client, previous)
 		return
 	}
+	if c := b.claims[r.ID]; c != nil {
+		b.rejoinClaim(c, r)
+		return
+	}
+	if b.mustClaim(&r) {
+		b.startClaim(r)
+		return
+	}
+	b.admitRequest(r)
+}
+
+// admitRequest admits a request that no process has handled yet, or adds a session that is
+// established already.
+func (b *Broker) admitRequest(r Request) {
+	now := b.clock.now()
 	if b.refusesNew() {
 		// Guard: a request that arrives late in a drain is answered too, and at once,
 		// since the program may be killed before an attempt ends. Another manager may
@@ -60,7 +75,7 @@
 		r.Client.Deliver(Reply{Kind: ReplyRefused, ID: r.ID, Cause: CauseRefused, RetryAfter: drainRetryAfter})
 		return
 	}
-	s := &session{Request: r, client: r.Client, deadline: r.ReceivedAt.Add(r.TimeLeft), rung: b.settings.Classes[r.Class].FloorRung}
+	s := &session{Request: r, client: r.Client, requestedAt: r.ReceivedAt, deadline: r.ReceivedAt.Add(r.TimeLeft), rung: b.settings.Classes[r.Class].FloorRung}
 	event := control.Event{
 		Session: r.ID, Class: r.Class, Tenant: r.Team, Title: r.Title,
 		HomeCell: r.Home, Copies: r.Copies, MaxRung: r.MaxRung,
@@ -80,6 +95,7 @@
 		return
 	}
 	b.sessions[r.ID] = s
+	b.playersChanged = true
 	b.openSetUps[r.ID] = true
 	b.timers.add(s.deadline.Add(-overdueMargin), timerDeadline, r.ID, 0)
 	if retryAfter, ok := b.admit(now, s); !ok {
@@ -121,7 +137,7 @@
 		case s.client != r.Client:
 			s.client.Deliver(Reply{Kind: ReplyAbandoned, ID: s.ID})
 		}
-		s.client = r.Client
+		s.client, s.requestedAt = r.Client, r.ReceivedAt
 		switch action := s.deferred; {
 		case s.answered:
 			repeatReply(s.client, s.finalReply)
@@ -152,27 +168,39 @@
 // handleConnectionLost abandons the open set-ups of a lost connection. Where there is a
 // grace, it keeps set-ups and sessions for a player that may reconnect.
 func (b *Broker) handleConnectionLost(c Client) {
-	now := b.clock.now()
 	for _, s := range b.sessions {
-		if s.client != c {
-			continue
+		if s.client == c {
+			b.loseClient(s)
 		}
-		if s.Grace > 0 {
-			s.client = nil
-			s.disconnects++
-			b.timers.add(now.Add(s.Grace), timerGrace, s.ID, s.disconnects)
-		} else if !s.answered {
-			b.abandonSession(s)
+	}
+	for _, claim := range b.claims {
+		if claim.client == c {
+			b.loseClaimClient(claim)
 		}
 	}
 }
 
+// loseClient handles the loss of the connection of one session's viewer.
+func (b *Broker) loseClient(s *session) {
+	if s.Grace > 0 {
+		s.client = nil
+		s.disconnects++
+		b.timers.add(b.clock.now().Add(s.Grace), timerGrace, s.ID, s.disconnects)
+	} else if !s.answered {
+		b.abandonSession(s)
+	}
+}
+
 // handleViewerEnd abandons a set-up or ends an established session.
 func (b *Broker) handleViewerEnd(e ViewerEnd) {
 	s := b.sessions[e.ID]
 	if s == nil {
+		b.forwardViewerEnd(e)
 		return
 	}
+	if b.playersHandedOver[e.ID] {
+		return // the successor releases it, as the player is at none of its connections
+	}
 	if s.playing {
 		b.recordViewerEnd(s, e.Cause)
 		b.nodes.Release(s.server, s.ID, e.Cause)
@@ -220,6 +248,10 @@
 // answerOverdue answers a request that is still unanswered shortly before the viewer's
 // deadline, whatever a node or the decision module does.
 func (b *Broker) answerOverdue(id control.SessionID) {
+	if c := b.claims[id]; c != nil {
+		b.expireClaim(c)
+		return
+	}
 	s := b.sessions[id]
 	if s == nil || s.answered {
 		return
@@ -332,6 +364,7 @@
 	}
 	reached := true
 	s.answered, s.finalReply = true, r
+	b.playersChanged = true
 	b.counters.CountAnswer(s.Class, r.Kind)
 	if ce := b.log.Check(zap.DebugLevel, "answered"); ce != nil {
 		// One line for each request, so that it can be traced by its ID through all
@@ -361,9 +394,17 @@
 	}
 	delete(b.sessions, s.ID)
 	b.releaseTeamSession(s)
-	if s.Grace > 0 && len(b.endedReplies) < maxEndedReplies {
-		b.endedReplies[s.ID] = s.finalReply
-		b.timers.add(b.clock.now().Add(endedReplyRetention), timerForgetReply, s.ID, 0)
+	if s.Grace > 0 {
+		b.keepReply(s.ID, s.finalReply)
+	}
+}
+
+// keepReply keeps a final reply for a while, for a player that comes back.
+func (b *Broker) keepReply(id control.SessionID, r Reply) {
+	b.playersChanged = true
+	if len(b.endedReplies) < maxEndedReplies {
+		b.endedReplies[id] = r
+		b.timers.add(b.clock.now().Add(endedReplyRetention), timerForgetReply, id, 0)
 	}
 }
 
--- a/internal/handover/process.go
+++ b/internal/handover/process.go
@@ -17,6 +17,9 @@
 	"millethinge/internal/broker"
 )
 
+// claimsMark is the second byte in the mark file of a process that answers claims.
+const claimsMark = 'c'
+
 // processPrefix begins the name of each mark file; the process's start time and id follow.
 const processPrefix = "process-"
 
@@ -77,6 +80,7 @@
 type Others struct {
 	Alive       int     // number of the processes
 	Successors  []int64 // the younger processes that serve, the youngest first
+	Claimable   []int64 // those that answer claims, in no order
 	NewestStart int64   // the youngest of the younger processes, serving or not; 0: there is none
 	// AtMostOneSeen reports whether this process has never seen more than one other. Only then
 	// is the kernel's order of the sockets known: the older process's socket comes first.
@@ -96,15 +100,18 @@
 			continue
 		}
 		path := filepath.Join(p.folder.path, entry.Name())
-		alive, serving := readMark(path)
-		if !alive {
+		mark := readMark(path)
+		if !mark.alive {
 			os.Remove(path)
 			continue
 		}
 		others.Alive++
+		if mark.claimable {
+			others.Claimable = append(others.Claimable, startNS)
+		}
 		if startNS > p.startNS {
 			others.NewestStart = max(others.NewestStart, startNS)
-			if serving {
+			if mark.serving {
 				others.Successors = append(others.Successors, startNS)
 			}
 		}
@@ -170,19 +177,30 @@
 	return h, false, err
 }
 
-// readMark reports whether the process of a mark file is alive, and whether it serves.
-func readMark(path string) (alive, serving bool) {
+// processMark is what the mark file of a process shows.
+type processMark struct {
+	alive     bool
+	serving   bool
+	claimable bool // it answers claims
+}
+
+// readMark reads the mark file of a process.
+func readMark(path string) (mark processMark) {
 	file, err := os.Open(path)
 	if err != nil {
 		// Guard: a process whose file can't be opened, such as when no file descriptor is
 		// left, is not taken for ended.
-		return !errors.Is(err, fs.ErrNotExist), false
+		mark.alive = !errors.Is(err, fs.ErrNotExist)
+		return mark
 	}
 	defer file.Close()
 	if unix.Flock(int(file.Fd()), unix.LOCK_SH|unix.LOCK_NB) == nil {
-		return false, false
+		return mark
 	}
-	var mark [1]byte
-	n, _ := file.Read(mark[:])
-	return true, n == 1 && mark[0] == '+'
+	var content [2]byte
+	n, _ := file.Read(content[:])
+	mark.alive = true
+	mark.serving = n >= 1 && content[0] == '+'
+	mark.claimable = n >= 2 && content[1] == claimsMark
+	return mark
 }
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -29,6 +29,9 @@
 	maxFileBytes  = 8 << 20
 	overridesFile = "orders"
 	handoverFile  = "estate"
+	// mailFileName and playersFileName begin the names of files about players that may reconnect.
+	mailFileName    = "mail"
+	playersFileName = "players"
 )
 
 // StoredOverrides are the operator overrides as they are stored for other processes.
@@ -176,8 +179,11 @@
 func (f *Folder) RemoveHandovers() {
 	entries, _ := os.ReadDir(f.path)
 	for _, entry := range entries {
-		if strings.HasPrefix(strings.TrimPrefix(entry.Name(), "."), handoverFile) {
-			os.Remove(filepath.Join(f.path, entry.Name()))
+		name := strings.TrimPrefix(entry.Name(), ".")
+		for _, prefix := range []string{handoverFile, mailFileName, playersFileName} {
+			if strings.HasPrefix(name, prefix) {
+				os.Remove(filepath.Join(f.path, entry.Name()))
+			}
 		}
 	}
 }
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,10 @@
 // and for operator overrides that they stored. A check takes a few microseconds.
 const processCheckInterval = 50 * time.Millisecond
 
+// claimCheckInterval is the time between two such checks while other processes may send claims:
+// players' set-ups wait for them.
+const claimCheckInterval = 10 * time.Millisecond
+
 // coordinatorTimeout bounds the time that readiness waits for the coordinator's first
 // answer.
 const coordinatorTimeout = 2 * time.Second
@@ -44,17 +49,21 @@
 
 	folder              *handover.Folder // shared by the processes of this manager; nil: none
 	process             *handover.Process
-	shared              atomic.Bool // whether another process of this manager is alive
+	mail                *handover.Mail // to other processes, about players' sessions; nil: there are no players
+	shared              atomic.Bool    // whether another process of this manager is alive
 	ready               atomic.Bool
-	stopping            atomic.Bool         // set once this process is asked to end
-	coordinatorAnswered chan struct{}       // closed at the coordinator's first answer since the start
-	overrides           *override.Overrides // owned by the list's actor goroutine
-
-	mu            sync.Mutex
-	overrideState handover.StoredOverrides // the overrides as they are stored for other processes
-	handingOver   bool                     // whether this process leaves its sessions to a successor
-	successorBorn int64                    // identifies the successor: the time at which it started
-	finalHandover bool                     // whether this process has handed over for the last time, and adopts no more
+	stopping            atomic.Bool                           // set once this process is asked to end
+	coordinatorAnswered chan struct{}                         // closed at the coordinator's first answer since the start
+	pendingPlayers      atomic.Pointer[broker.PlayerHandover] // to be stored for the successor; nil: nothing new
+	overrides           *override.Overrides                   // owned by the list's actor goroutine
+
+	mu                 sync.Mutex
+	overrideState      handover.StoredOverrides // the overrides as they are stored for other processes
+	handingOver        bool                     // whether this process leaves its sessions to a successor
+	handingPlayersOver bool                     // whether the successor takes over players that may reconnect, too
+	successorBorn      int64                    // identifies the successor: the time at which it started
+	claimable          []broker.PeerID          // the processes that the broker knows to answer claims
+	finalHandover      bool                     // whether this process has handed over for the last time, and adopts no more
 }
 
 // newAdminService returns nil where no admin address is configured.
@@ -75,7 +84,12 @@
 		return s
 	}
 	s.folder = folder
-	others := s.checkProcesses()
+	if cfg.Operator.WebSocket != nil {
+		if s.mail, err = s.process.OpenMail(); err != nil {
+			warnOperator(log, err)
+		}
+	}
+	others, _ := s.checkProcesses()
 	if others.Alive == 0 {
 		folder.RemoveHandovers()
 	}
@@ -198,31 +212,50 @@
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
-			wasShared := s.shared.Load()
-			s.checkProcesses()
-			if overrides := s.loadOverrides(); overrides != nil {
-				s.nodeList.AfterPending(func() { s.applyOverrides(overrides) })
-			}
-			s.adoptSessions()
-			if wasShared && !s.shared.Load() {
-				s.folder.RemoveHandovers() // no process is left to use the files of one that was killed
-			}
+			s.checkOnProcesses()
+			tick.Reset(s.checkInterval())
 		}
 	}
 }
 
+// checkInterval returns the time until the next check: shorter while claims of players may wait
+// for it.
+func (s *adminService) checkInterval() time.Duration {
+	if s.mail != nil && s.Shared() {
+		return claimCheckInterval
+	}
+	return processCheckInterval
+}
+
+// checkOnProcesses checks for other processes once, and handles what they have stored.
+func (s *adminService) checkOnProcesses() {
+	wasShared := s.shared.Load()
+	others, known := s.checkProcesses()
+	if overrides := s.loadOverrides(); overrides != nil {
+		s.nodeList.AfterPending(func() { s.applyOverrides(overrides) })
+	}
+	s.adoptSessions()
+	if known {
+		s.exchangeWithPeers(others)
+	}
+	if wasShared && !s.shared.Load() {
+		s.folder.RemoveHandovers() // no process is left to use the files of one that was killed
+	}
+}
+
 // checkProcesses returns the other live processes of this manager, and halves the memory
-// limit and the limits on connections while there are any. Guard: watchProcesses and the handling of a signal may call it
+// limit and the limits on connections while there are any. known is false if it could not find
+// out. Guard: watchProcesses and the handling of a signal may call it
 // at the same time; the limits are those of the last check.
-func (s *adminService) checkProcesses() handover.Others {
+func (s *adminService) checkProcesses() (others handover.Others, known bool) {
 	if s.process == nil {
-		return handover.Others{}
+		return handover.Others{}, false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	others, err := s.process.FindOthers()
 	if err != nil {
-		return others
+		return others, false
 	}
 	if shared := others.Alive > 0; s.shared.Swap(shared) != shared {
 		part := int64(1)
@@ -232,7 +265,7 @@
 		debug.SetMemoryLimit(int64(s.cfg.MemoryMB) << 20 * 3 / 4 / part)
 		s.log.Info("processes of this manager", zap.Int("others", others.Alive))
 	}
-	return others
+	return others, true
 }
 
 // loadOverrides merges the overrides that another process stored. It returns those for media
@@ -295,6 +328,7 @@
 // ended, if this process is leaving its sessions to a successor.
 func (s *adminService) handOverRemaining(sessionBroker *broker.Broker) {
 	if s != nil && s.handingOver {
+		s.handOverPlayers(sessionBroker)
 		s.handOver(sessionBroker.FinalHandover())
 	}
 }
@@ -307,16 +341,22 @@
 		return
 	}
 	s.finalHandover = h.Final
-	// Guard: the successor may have ended, or may have been asked to end, since it was chosen,
-	// so it is chosen anew.
-	if others, err := s.process.FindOthers(); err == nil {
-		s.successorBorn = others.ChooseSuccessor(s.successorBorn)
-	}
+	s.chooseSuccessor()
 	if err := s.process.StoreHandover(h, s.successorBorn); err != nil {
 		warnOperator(s.log, err)
 	}
 }
 
+// chooseSuccessor chooses the process that takes the sessions over. s.mu is held.
+//
+// Guard: the successor may have ended, or may have been asked to end, since it was chosen,
+// so it is chosen anew.
+func (s *adminService) chooseSuccessor() {
+	if others, err := s.process.FindOthers(); err == nil {
+		s.successorBorn = others.ChooseSuccessor(s.successorBorn)
+	}
+}
+
 // applyDrain closes or opens the gate for clients as ordered.
 func (s *adminService) applyDrain(override override.Override) {
 	if override.Active {
@@ -366,7 +406,7 @@
 	}
 	s.stopping.Store(true)
 	s.publishReadiness()
-	others := s.checkProcesses()
+	others, _ := s.checkProcesses()
 	if len(others.Successors) == 0 {
 		return false
 	}
@@ -383,6 +423,7 @@
 	}
 	s.gate.StartHandover(time.Now())
 	s.handingOver = true
+	s.handingPlayersOver = s.mail != nil && slices.Contains(others.Claimable, others.Successors[0])
 	return true
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -114,7 +114,8 @@
 		},
 	})
 	sessionBroker, err := broker.New(broker.Config{
-		Settings: cfg.Settings, Seed: cfg.Seed, MemoryMB: cfg.MemoryMB, Drain: cfg.Drain, Teams: cfg.Operator.Teams, Peaks: cfg.BrokerPeaks(), Sites: cfg.BrokerSites(), Nodes: pool, Counters: counts, SendHandover: service.HandoverFunc(), Log: log,
+		Settings: cfg.Settings, Seed: cfg.Seed, MemoryMB: cfg.MemoryMB, Drain: cfg.Drain, Teams: cfg.Operator.Teams, Peaks: cfg.BrokerPeaks(), Sites: cfg.BrokerSites(), Nodes: pool, Counters: counts, SendHandover: service.HandoverFunc(),
+		Peers: service.Peers(), SendPlayers: service.PlayerHandoverFunc(), Log: log,
 	})
 	if err != nil {
 		return err
@@ -147,6 +148,7 @@
 	if err != nil {
 		return err
 	}
+	service.startPeers(sessionBroker, nodeList)
 	routes := new(route.ActiveSet)
 	routes.Replace(cfg.Operator.Routes)
 	for _, w := range cfg.Operator.Warnings {
@@ -176,7 +178,10 @@
 			Broker: sessionBroker, Decoder: catalog, Path: w.Path, Grace: w.Grace, Counts: counts, Limits: linesFront.Limits, Log: log,
 		}
 		webSocketFront.Limits.MaxConns, webSocketFront.Limits.MaxConnsInUpgrade = cfg.MaxViewerConns()/2, halfConfig.MaxViewerConns()/2
-		serve(webSocketFront.Serve, listeners.Players)
+		serve(func(ctx context.Context, l net.Listener) error {
+			service.awaitPeersNotice(ctx)
+			return webSocketFront.Serve(ctx, l)
+		}, listeners.Players)
 	}
 	group.Go(func() error { return sessionBroker.Run(ctx) })
 	group.Go(func() error { return nodeList.Run(ctx) })
@@ -214,8 +219,8 @@
 					}
 				case draining:
 				case service.leaveToSuccessor(listeners.Viewers, listeners.Players):
-					log.Info("leaving to a younger process", zap.Stringer("signal", s))
-					sessionBroker.DrainForSuccessor()
+					log.Info("leaving to a younger process", zap.Stringer("signal", s), zap.Bool("players", service.handingPlayersOver))
+					sessionBroker.DrainForSuccessor(service.handingPlayersOver)
 					draining = true
 				default:
 					log.Info("draining", zap.Stringer("signal", s))
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -47,6 +47,46 @@
 	// mutex of Counts held.
 	Decide func(session string, nth int) Response
 	Counts *Counts
+
+	mu    sync.Mutex
+	conns map[*sharedConn]bool // open connections
+	ends  []string             // sessions whose end waits for a connection
+}
+
+// opened records an open connection and sends the ends that waited for one.
+func (n *Node) opened(c *sharedConn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.conns == nil {
+		n.conns = make(map[*sharedConn]bool)
+	}
+	n.conns[c] = true
+	for _, session := range n.ends {
+		c.send(buildTeardown(session))
+	}
+	n.ends = nil
+}
+
+func (n *Node) closed(c *sharedConn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.conns, c)
+}
+
+// endSession sends the end of a session on the connection of its set-up, or else on any open
+// one, or on the next that opens.
+func (n *Node) endSession(session string, setUpConn *sharedConn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.conns[setUpConn] {
+		setUpConn.send(buildTeardown(session))
+		return
+	}
+	for c := range n.conns {
+		c.send(buildTeardown(session))
+		return
+	}
+	n.ends = append(n.ends, session)
 }
 
 // Serve accepts connections until l is closed.
@@ -75,6 +115,8 @@
 func (n *Node) serveConn(conn net.Conn) {
 	defer conn.Close()
 	c := &sharedConn{Conn: conn}
+	n.opened(c)
+	defer n.closed(c)
 	in := stream.NewReader(conn, rtsp.MaxMessageSize)
 	var m rtsp.Message
 	for {
@@ -117,7 +159,7 @@
 		}
 		c.send(buildResponse(200, "1", session, "node;"+description))
 		if response.SessionLength > 0 {
-			time.AfterFunc(response.SessionLength, func() { c.send(buildTeardown(session)) })
+			time.AfterFunc(response.SessionLength, func() { n.endSession(session, c) })
 		}
 	}
 	if response.Delay > 0 {
