media: an eviction at a node that was removed does not stay pending

Cause: found by reading. An evictRequest to a node that had just been removed was never handled, so that it counted as pending for good, and one eviction less was asked for from then on. And a check that had run out kept its connection from being evicted until that closed. Change: the request goes by Pool.post, which knows whether the node is there; a connection that is unusable is evicted whether or not a check is noted on it. Measured: TestEvictionAtRemovedNode; the tests of internal/media pass.

--- a/internal/media/conn_slots.go
+++ b/internal/media/conn_slots.go
@@ -8,7 +8,8 @@
 	"go.uber.org/zap"
 )
 
-// dialPurpose is what a connection is opened for. It decides how many slots may be used.
+// dialPurpose is what a connection is opened for. It decides who goes first, and for how long a
+// node waits.
 type dialPurpose uint8
 
 const (
@@ -141,7 +142,9 @@
 	found := s.scanFoundAny
 	s.mu.Unlock()
 	for _, offer := range chosen {
-		offer.node.inbox.Force(evictRequest{offer.rank})
+		if !p.post(offer.node.server, evictRequest{offer.rank}, false) {
+			p.evictionHandled() // the node has been removed
+		}
 	}
 	return found
 }
--- a/internal/media/eviction.go
+++ b/internal/media/eviction.go
@@ -91,7 +91,9 @@
 // evictionRank returns the rank of c, or 0 if c must not be evicted.
 func (n *node) evictionRank(c *conn, now time.Time) evictionRank {
 	switch heard := n.heardSinceOpened(c); {
-	case c.closed || c.evicted || c.checkPending && c.openSetUps == 0:
+	case c.closed || c.evicted:
+		return 0
+	case c.checkPending && c.openSetUps == 0 && !c.unusable: // its answer shows whether it serves
 		return 0
 	case c.openSetUps > 0 && c.unusable:
 		return 0
@@ -184,8 +186,8 @@
 	n.pool.evictionHandled()
 }
 
-// evict closes a connection, once its set-ups have ended. If an end may be lost with it, another one is opened
-// in its turn.
+// evict closes a connection, once its set-ups have ended. If an end may be lost with it, another
+// one is opened in its turn.
 //
 // Guard: at the limit each connection that is opened costs another one. If the node was heard
 // from just now, it runs, and learns of the close before it sends anything else: one connection
--- a/internal/media/eviction_test.go
+++ b/internal/media/eviction_test.go
@@ -165,3 +165,19 @@
 		t.Errorf("reports: %+v", *reports)
 	}
 }
+
+// An eviction that a node can't carry out, since it has been removed meanwhile, must not count as
+// pending: others would wait for it for good.
+func TestEvictionAtRemovedNode(t *testing.T) {
+	n, _, _, _ := newTestNode(t)
+	p := n.pool
+	p.cfg.MaxConns = 1
+	p.slots.used = 1
+	n.offer.Store(&evictionOffer{n, evictUseless, time.Now().Add(-time.Minute)})
+	p.nodes[n.server+1] = n // listed under an id at which no message reaches it
+	p.awaitSlot(n, dialForEnds)
+	p.makeRoom(time.Now(), dialForEnds, 0)
+	if p.slots.evictionsPending != 0 {
+		t.Errorf("%d evictions count as pending", p.slots.evictionsPending)
+	}
+}
