broker: a claim whose player is away can end; releases are passed on to the owner

Cause: found by reading. endClaim told a client that might be nil, after the owner had ended and the player had left too; a claim that had been answered was closed at the front as an open set-up. A release under an id that a process does not know was dropped while another process held it. Change: closeAtClient chooses the reply; a release goes to the other processes, and is remembered in case the session is handed over before they read it.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -87,6 +87,7 @@
 	playersOf         map[PeerID]*PlayerHandover // what a process hands over if it ends without a final one
 	claims            map[control.SessionID]*claim
 	claimCount        uint64
+	endedElsewhere    map[control.SessionID]bool // sessions unknown here that a viewer has ended here
 	sendPlayers       func(PlayerHandover)
 	handsPlayersOver  bool                       // a successor takes over the sessions of players that may reconnect
 	playersChanged    bool                       // such sessions have changed since the last PlayerHandover
@@ -107,21 +108,22 @@
 	}
 	b := &Broker{
 		settings: settings, controller: controller, nodes: cfg.Nodes, log: cfg.Log, clock: newClock(),
-		inbox:        mailbox.New[any](max(cfg.MemoryMB, 1) * inboxPerMB),
-		sessions:     make(map[control.SessionID]*session),
-		endedReplies: make(map[control.SessionID]Reply),
-		openSetUps:   make(map[control.SessionID]bool),
-		ledgers:      newLedgers(cfg.Teams, len(cfg.Settings.TenantQuotas)),
-		drained:      make(chan struct{}),
-		drainTimes:   cfg.Drain,
-		counters:     cfg.Counters,
-		sendHandover: cfg.SendHandover,
-		sendPlayers:  cfg.SendPlayers,
-		peers:        cfg.Peers,
-		peersLeaving: make(map[PeerID]bool),
-		playersOf:    make(map[PeerID]*PlayerHandover),
-		claims:       make(map[control.SessionID]*claim),
-		planners:     newPlanners(&cfg, settings.Managers, cfg.Log),
+		inbox:          mailbox.New[any](max(cfg.MemoryMB, 1) * inboxPerMB),
+		sessions:       make(map[control.SessionID]*session),
+		endedReplies:   make(map[control.SessionID]Reply),
+		openSetUps:     make(map[control.SessionID]bool),
+		ledgers:        newLedgers(cfg.Teams, len(cfg.Settings.TenantQuotas)),
+		drained:        make(chan struct{}),
+		drainTimes:     cfg.Drain,
+		counters:       cfg.Counters,
+		sendHandover:   cfg.SendHandover,
+		sendPlayers:    cfg.SendPlayers,
+		peers:          cfg.Peers,
+		peersLeaving:   make(map[PeerID]bool),
+		playersOf:      make(map[PeerID]*PlayerHandover),
+		claims:         make(map[control.SessionID]*claim),
+		endedElsewhere: make(map[control.SessionID]bool),
+		planners:       newPlanners(&cfg, settings.Managers, cfg.Log),
 	}
 	for i := range b.planners {
 		b.timers.add(b.clock.now(), timerPlanner, 0, uint32(i))
@@ -361,6 +363,7 @@
 			b.tickPlanner(int(t.token))
 		case timerForgetReply:
 			delete(b.endedReplies, t.session)
+			delete(b.endedElsewhere, t.session)
 		case timerClaim:
 			if c := b.claims[t.session]; c != nil {
 				b.giveUpAwaiting(c)
--- a/internal/broker/claim.go
+++ b/internal/broker/claim.go
@@ -85,12 +85,8 @@
 		r.Client.Deliver(Reply{Kind: ReplyFailed, ID: r.ID, Cause: CauseFailed})
 		return
 	}
-	if c.client != nil && c.client != r.Client {
-		kind := ReplyAbandoned
-		if c.answered {
-			kind = ReplyClosed
-		}
-		c.client.Deliver(Reply{Kind: kind, ID: c.ID})
+	if c.client != r.Client {
+		c.closeAtClient()
 	}
 	// The processes are asked again, since the player may have asked another one meanwhile. A
 	// owner repeats its answer.
@@ -100,6 +96,18 @@
 	b.resolveClaim(c)
 }
 
+// closeAtClient lets the connection on which the player was know that the claim is not its
+// concern any more.
+func (c *claim) closeAtClient() {
+	switch {
+	case c.client == nil:
+	case c.answered:
+		c.client.Deliver(Reply{Kind: ReplyClosed, ID: c.ID})
+	default:
+		c.client.Deliver(Reply{Kind: ReplyAbandoned, ID: c.ID})
+	}
+}
+
 // sameSetUp reports whether r is the same set-up as that of the claim.
 func (c *claim) sameSetUp(r Request) bool {
 	return r.Grace > 0 && c.Requested == r.Requested && c.Key == r.Key && c.Home == r.Home &&
@@ -210,9 +218,7 @@
 	if c == nil || c.owner != 0 || otherReceivedAt.Before(c.ReceivedAt) {
 		return
 	}
-	if c.client != nil {
-		c.client.Deliver(Reply{Kind: ReplyAbandoned, ID: id})
-	}
+	c.closeAtClient()
 	b.removeClaim(c)
 }
 
@@ -233,23 +239,21 @@
 		b.endClaim(c, e)
 		return
 	}
-	if b.peers == nil {
+	peers := b.claimablePeers()
+	if b.peers == nil || len(peers) == 0 || len(b.endedElsewhere) >= maxEndedReplies {
 		return
 	}
-	for _, peer := range b.claimablePeers() {
+	b.endedElsewhere[e.ID] = true
+	b.timers.add(b.clock.now().Add(endedReplyRetention), timerForgetReply, e.ID, 0)
+	for _, peer := range peers {
 		b.peers.Send(peer, PeerMessage{Kind: PeerEnd, ID: e.ID, Cause: e.Cause})
-		b.keepReply(e.ID, Reply{Kind: ReplyEnded, ID: e.ID, Cause: e.Cause})
 	}
 }
 
 // endClaim handles the cancellation or the release of a claim's session by its player.
 func (b *Broker) endClaim(c *claim, e ViewerEnd) {
-	if c.client != nil && c.client != e.Client || c.answered {
-		kind := ReplyAbandoned
-		if c.answered {
-			kind = ReplyClosed
-		}
-		c.client.Deliver(Reply{Kind: kind, ID: c.ID})
+	if c.client != e.Client || c.answered {
+		c.closeAtClient()
 	}
 	b.sendToOwner(c, PeerMessage{Kind: PeerEnd, Cause: e.Cause})
 	reply := Reply{Kind: ReplyFailed, ID: c.ID, Cause: CauseFailed}
@@ -271,7 +275,7 @@
 
 // giveUpAwaiting handles the request of a claim that other processes leave unanswered.
 func (b *Broker) giveUpAwaiting(c *claim) {
-	if c.owner == 0 {
+	if c.owner == 0 && c.session == nil {
 		clear(c.awaited)
 		b.resolveClaim(c)
 	}
--- a/internal/broker/claim_test.go
+++ b/internal/broker/claim_test.go
@@ -452,3 +452,37 @@
 		}
 	}
 }
+
+// A player's release must end its session wherever it arrives: at the process that holds the
+// session, at one that asks another for it, or at the successor before the hand-over is read.
+func TestReleaseAtAnotherProcess(t *testing.T) {
+	for name, reachesOwner := range map[string]bool{"owner reads it": true, "owner hands over first": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := &upgradeSimulation{t: t, random: rand.New(rand.NewPCG(1, 1)), handovers: make(map[PeerID]PlayerHandover)}
+				u.start()
+				older := u.processes[0]
+				u.request(older)
+				u.answerSetUp(control.OK)
+				u.start()
+				younger := u.processes[1]
+				u.lose()
+				older.noteLosses()
+				younger.broker.handleMessage(ViewerEnd{ID: simulatedID, Cause: CauseEnded, Client: &simulatedClient{process: younger}})
+				if reachesOwner {
+					older.readMessage(younger.id)
+				}
+				older.drainStarted = true
+				older.broker.handleMessage(drainRequest{forSuccessor: true, withPlayers: true})
+				u.advance(time.Second)
+				u.finish(time.Second)
+				if older.alive || u.stands {
+					t.Errorf("older process alive: %v; session stands: %v", older.alive, u.stands)
+				}
+				if len(younger.broker.sessions) > 0 {
+					t.Error("the successor still holds the session")
+				}
+			})
+		})
+	}
+}
--- a/internal/broker/player_handover.go
+++ b/internal/broker/player_handover.go
@@ -183,7 +183,7 @@
 		return false
 	}
 	b.rememberAdopted(p.ID)
-	if _, over := b.endedReplies[p.ID]; over { // its player has ended it here meanwhile
+	if _, over := b.endedReplies[p.ID]; over || b.endedElsewhere[p.ID] { // its player has ended it here meanwhile
 		b.nodes.Release(p.Server, p.ID, CauseEnded)
 		return true
 	}
