media: a pending check delays a dial only while slots are scarce

Cause: found by reading. A check on a suspect connection, which there always was, held back the dial to a silent node by up to 0.2 s also with free slots. Change: it does so only while slots are scarce, as meant.

--- a/internal/media/forgotten_connections_test.go
+++ b/internal/media/forgotten_connections_test.go
@@ -32,6 +32,7 @@
 	resets      bool // a message on a forgotten connection resets it; otherwise it is lost
 
 	mu            sync.Mutex
+	random        *rand.Rand
 	nodes         map[string]*forgetfulNode // by address
 	overAt        map[string]time.Time      // by session: when it came to its end
 	open, maxOpen int
@@ -55,6 +56,13 @@
 	forgotten bool
 }
 
+// sessionLength returns how long a session lasts.
+func (f *forgetfulFleet) sessionLength() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(26+f.random.IntN(24)) * time.Second
+}
+
 func (f *forgetfulFleet) dial(_ context.Context, addr string) (net.Conn, error) {
 	near, far := net.Pipe()
 	f.mu.Lock()
@@ -169,7 +177,7 @@
 		c.openCount--
 		f.mu.Unlock()
 		c.send(ok)
-		time.AfterFunc(time.Duration(26+rand.IntN(24))*time.Second, func() { c.endSession(id) })
+		time.AfterFunc(f.sessionLength(), func() { c.endSession(id) })
 	})
 }
 
@@ -224,7 +232,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				fleet := &forgetfulFleet{idleTimeout: 15 * time.Second, answerDelay: e.answerDelay, resets: e.resets,
+				fleet := &forgetfulFleet{idleTimeout: 15 * time.Second, answerDelay: e.answerDelay, resets: e.resets, random: rand.New(rand.NewPCG(41, 2)),
 					nodes: make(map[string]*forgetfulNode), overAt: make(map[string]time.Time)}
 				var mu sync.Mutex
 				startedIDs, toldAt := make(map[string]bool), make(map[string]time.Time)
@@ -240,7 +248,7 @@
 					}
 				}
 				ctx, cancel := context.WithCancel(t.Context())
-				began := time.Now()
+				began, random := time.Now(), rand.New(rand.NewPCG(41, 1))
 				limit := max(e.limitInUpgrade, 1)
 				p := NewPool(ctx, new(errgroup.Group), Config{
 					ClassNames: []string{"clip"}, ConnIdleTimeout: fleet.idleTimeout, StreamsPerConn: cmp.Or(e.streams, 32), MaxConns: e.limit, DrainGrace: time.Second,
@@ -259,7 +267,7 @@
 					setUps++
 					a := newSetUp(control.SessionID(setUps)).Attempt
 					a.Deadline = time.Now().Add(3 * time.Second)
-					p.SetUp(control.ServerID(rand.IntN(e.nodes)+1), a)
+					p.SetUp(control.ServerID(random.IntN(e.nodes)+1), a)
 					if !time.Now().Before(nextForget) {
 						fleet.forgetIdle(time.Now())
 						nextForget = time.Now().Add(100 * time.Millisecond)
--- a/internal/media/node_connections.go
+++ b/internal/media/node_connections.go
@@ -82,7 +82,7 @@
 // Connections to a machine that is cut off stay open and silent: only a new one shows
 // the failure. A new connection also carries the ends and releases that found none.
 func (n *node) needsDialForEnds(now time.Time) bool {
-	silent := n.isSilent(now) && !n.checkIsPending()
+	silent := n.isSilent(now) && !(n.pool.slotsScarce() && n.checkIsPending())
 	return len(n.pendingReleases) > 0 || n.endMayBeLost() || len(n.established) > 0 && (silent || len(n.conns) == 0)
 }
 
