broker: a player's session that can't be taken over is over, not set up again

Cause: found by reading. Where the successor's list lacked the media node of an established session, the session was left out at the hand-over, and set up a second time as its player came back. Change: the player is told that it is over.

--- a/internal/broker/claim_test.go
+++ b/internal/broker/claim_test.go
@@ -47,6 +47,7 @@
 	hasSession   bool                     // its connections to the media node get the session's end
 	newHandover  map[PeerID]bool          // of others, not read yet
 	drainStarted bool
+	unlisted     bool // the media node is not on its list
 }
 
 // simulatedClient is one socket of the player.
@@ -96,6 +97,9 @@
 	}
 }
 func (p *simulatedProcess) AddEstablished(control.ServerID, control.SessionID) bool {
+	if p.unlisted {
+		return false
+	}
 	p.simulation.note("process %d adopts", p.id)
 	p.hasSession = !p.simulation.ended
 	if p.simulation.ended { // sent again on the connection that opens now
@@ -453,6 +457,28 @@
 	}
 }
 
+// A session that the successor can't take over, since its list lacks the media node, must be told as
+// over to the player that comes back, and not be set up again.
+func TestSessionOnUnlistedNodeIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upgradeSimulation{t: t, random: rand.New(rand.NewPCG(1, 1)), handovers: make(map[PeerID]PlayerHandover)}
+		u.start()
+		u.start()
+		older, younger := u.processes[0], u.processes[1]
+		younger.unlisted = true
+		u.request(older)
+		u.finish(100 * time.Millisecond) // the claim, and the set-up
+		older.drainStarted = true
+		older.broker.handleMessage(drainRequest{forSuccessor: true, withPlayers: true})
+		u.finish(time.Second)
+		u.request(younger)
+		u.finish(time.Second)
+		if got := u.client.replies; u.setUps != 1 || len(got) == 0 || got[0].Kind != ReplyEnded {
+			t.Errorf("%d set-ups; the player is told %+v", u.setUps, got)
+		}
+	})
+}
+
 // A player's release must end its session wherever it arrives: at the process that holds the
 // session, at one that asks another for it, or at the successor before the hand-over is read.
 func TestReleaseAtAnotherProcess(t *testing.T) {
--- a/internal/broker/player_handover.go
+++ b/internal/broker/player_handover.go
@@ -160,10 +160,8 @@
 func (b *Broker) adoptPlayers(from PeerID, h *PlayerHandover) {
 	adopted := 0
 	for _, p := range h.Sessions {
-		if p.State == PlayerEstablished {
-			if b.adoptPlayer(p) {
-				adopted++
-			}
+		if p.State == PlayerEstablished && b.adoptPlayer(p) {
+			adopted++
 			continue
 		}
 		b.adoptReply(p)
@@ -209,18 +207,22 @@
 }
 
 // adoptReply takes over the final reply of a session. A paid set-up that the process left
-// unanswered may have run, so it has failed.
+// unanswered may have run, so it has failed. An established session that can't be taken over,
+// such as one on a node that is not on the list, is over: it is not set up again.
 func (b *Broker) adoptReply(p PlayerSession) {
 	reply := p.Reply.reply(p.ID)
-	if p.State == PlayerInFlight {
+	_, answeredHere := b.endedReplies[p.ID]
+	switch {
+	case b.sessions[p.ID] != nil || b.adoptedIDs[p.ID] || answeredHere:
+		return
+	case p.State == PlayerEstablished:
+		reply = Reply{Kind: ReplyEnded, ID: p.ID, Cause: CauseInterrupted}
+	case p.State == PlayerInFlight:
 		if class := p.SetUp.Class; class < 0 || class >= len(b.settings.Classes) || b.settings.Classes[class].RepeatEffect == control.Idempotent {
 			return
 		}
 		reply = Reply{Kind: ReplyFailed, ID: p.ID, Cause: CauseFailed}
 	}
-	if b.sessions[p.ID] != nil {
-		return
-	}
 	if c := b.claims[p.ID]; c != nil {
 		if c.client != nil {
 			b.deliverClaimed(c, reply, nil)
