Players' upgrade test: wait for what is stored, not for a time

Cause: one case slept for 0.2 s until the older process had stored its players' sessions, and the cases with a kill relied on 0.8 s being enough: a slow machine would have failed them. Change: the case waits for the file, as strict as before; the set-up of a process that is killed is never answered; sessions last for 10 s instead of 6.

--- a/cmd/millethinge/player_upgrade_test.go
+++ b/cmd/millethinge/player_upgrade_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -14,14 +15,17 @@
 // playerSetUp is a format for a player's set-up of a clip: the session's id.
 const playerSetUp = `{"type":"setup","id":%q,"fields":{"class":"clip","left":"9000","key":"01","extras":"home:0;copies:1;top:3"},"sdp":"x"}`
 
-// Times in the tests of upgrades. None of them decides about the outcome: a slow machine only
-// makes one case into another.
+// Times in the tests of upgrades. A machine so slow that a set-up is answered before the player
+// comes back makes one case into another, with the same outcome.
 const (
 	setUpTime     = 800 * time.Millisecond  // that the media node takes for a set-up
-	sessionLength = 6 * time.Second         // after which the media node ends a session
+	sessionLength = 10 * time.Second        // after which the media node ends a session
 	quietTime     = 1500 * time.Millisecond // in which a second answer would come
 )
 
+// unanswered is the status of a set-up that the media node never answers.
+const unanswered = 0
+
 // playerUpgrade is an upgrade in which a player with a clip comes back to the younger process.
 type playerUpgrade struct {
 	t              *testing.T
@@ -199,17 +203,20 @@
 			u.player.Lose()
 			u.request()
 		}},
-		"older process killed with the player back": {status: 200, failed: true, play: func(u *playerUpgrade) {
+		"older process killed with the player back": {status: unanswered, failed: true, play: func(u *playerUpgrade) {
 			u.upgradeDuringSetUp()
 			u.player.Lose()
 			u.request()
 			u.waitUntil("the claim", func() bool { return strings.Contains(u.older.logged(), "session claimed") })
 			u.older.kill()
 		}},
-		"older process killed with the player away": {status: 200, failed: true, play: func(u *playerUpgrade) {
+		"older process killed with the player away": {status: unanswered, failed: true, play: func(u *playerUpgrade) {
 			u.upgradeDuringSetUp()
 			u.player.Lose()
-			time.Sleep(setUpTime / 4) // the older process stores what it holds
+			u.waitUntil("what the older process stores", func() bool {
+				files, _ := filepath.Glob(filepath.Join(u.older.temp, "*", "players-*"))
+				return len(files) > 0
+			})
 			u.older.kill()
 			u.request()
 		}},
