Review case 7: a first connection that does not come up cuts the sessions of a start

One connection of over 90 to media servers does not come up. The server counts as silent since the process read its list, so its sessions are ended at once.

--- a/review/standin-2/node.go
+++ b/review/standin-2/node.go
@@ -36,6 +36,7 @@
 	ran      map[string]int          // set-ups that ran, by session
 	repeat   map[string]int          // ends that are sent once more on the next connection that opens, with their causes
 	setUpAt  []time.Time             // when SETUPs came
+	count    int                     // connections accepted
 }
 
 // setUpTime is how long a media server takes to set a session up.
@@ -115,6 +116,7 @@
 		return
 	}
 	n.conns = append(n.conns, c)
+	n.count++
 	repeat := n.repeat
 	n.repeat = map[string]int{}
 	n.mu.Unlock()
@@ -223,6 +225,13 @@
 	return sentAt
 }
 
+// accepted returns how many connections came up.
+func (n *node) accepted() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.count
+}
+
 // stands reports whether a session stands here.
 func (n *node) stands(id string) bool {
 	n.mu.Lock()
