Handover: a successor begins with the list that its predecessor was told

Cause: the list was known to each process alone; a new one began with `known` of the configuration, as old as its predecessor's start, and serves after 2 s without the coordinator. Change: each process stores the whole list with its event number and time (file `list`), and DNS-SD instances with the end of their TTL (file `instances`), checked like the other files. A process uses what is newer than its own, at its start and while it runs, until the coordinator has told it all that it has; that replaces the inherited list in one step. It polls after its configuration's number as before, since numbers may start anew. Sessions are adopted after the list that was stored before them. Without a usable file all is as before, and logged. BadFileError's remedy names the file at fault. Tests: TestUnusableFilesAreRejected now checks all three files by the same steps; the values of TestRecordsExpire and TestTXTErrorNamesKey are written for the changed types, their checks are the same.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -86,6 +86,7 @@
 
 	Coordinator    string            // address of the coordinator; empty: none
 	KnownNodes     directory.Updates // initial list of media nodes
+	KnownTime      time.Time         // when the file with KnownNodes was written; zero: unknown
 	DirectoryNames directory.Names   // names of zones and machine kinds in the list
 	Settings       control.Settings
 	ClassNames     []string      // by class
@@ -184,6 +185,9 @@
 	if c, err = ParsePlatform(text); err != nil {
 		return c, err
 	}
+	if info, err := os.Stat(path); err == nil {
+		c.KnownTime = info.ModTime()
+	}
 	if name := getenv(envName); name != "" {
 		c.Name = name
 	}
--- a/internal/directory/coordinator.go
+++ b/internal/directory/coordinator.go
@@ -3,15 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"fmt"
-	"net"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
-
-	"millethinge/control"
 )
 
 const (
@@ -19,13 +14,6 @@
 	redialDelay = 200 * time.Millisecond // after a connection that brought no update
 )
 
-// Phases of a media node, as the coordinator writes them.
-const (
-	phaseInService   = "in_service"
-	phaseTerminating = "terminating"
-	phaseTerminated  = "terminated"
-)
-
 // Updates is a series of updates with their indexes, as in the coordinator's responses and in
 // the configuration.
 type Updates struct {
@@ -38,17 +26,8 @@
 
 // endpoints is an update's change to the list.
 type endpoints struct {
-	Complete bool `json:"complete"`
-	Members  []struct {
-		ID        string  `json:"id"`
-		HostPort  string  `json:"host_port"`
-		Locality  string  `json:"locality"`
-		Flavor    string  `json:"flavor"`
-		Cell      int     `json:"cell"`
-		Phase     string  `json:"phase"`
-		Size      float64 `json:"size"`
-		UpSinceMS int64   `json:"up_since_ms"`
-	} `json:"members"`
+	Complete bool   `json:"complete"`
+	Members  []Node `json:"members"`
 }
 
 // ParseUpdates decodes updates from the coordinator's JSON. The error is an *UpdateError.
@@ -71,15 +50,9 @@
 	if e == nil {
 		return nil
 	}
-	for i, m := range e.Members {
-		_, _, err := net.SplitHostPort(m.HostPort)
-		switch {
-		case m.ID == "":
-			return &UpdateError{updateIndex, i, "id", errors.New("missing")}
-		case m.Phase != phaseInService && m.Phase != phaseTerminating && m.Phase != phaseTerminated:
-			return &UpdateError{updateIndex, i, "phase", fmt.Errorf("%q", m.Phase)}
-		case m.Phase != phaseTerminated && err != nil:
-			return &UpdateError{updateIndex, i, "host_port", err}
+	for i := range e.Members {
+		if key, err := e.Members[i].fault(); err != nil {
+			return &UpdateError{updateIndex, i, key, err}
 		}
 	}
 	return nil
@@ -88,25 +61,8 @@
 // toChange converts an update that is valid.
 func (e *endpoints) toChange(names Names) Change {
 	c := Change{Full: e.Complete}
-	for _, m := range e.Members {
-		entry := control.Entry{
-			Server: ServerIDOf(m.ID), Cell: m.Cell, Weight: m.Size,
-			Zone: index(names.Zones, m.Locality), MachineKind: index(names.MachineKinds, m.Flavor),
-		}
-		switch m.Phase {
-		case phaseInService:
-			entry.State = control.Ready
-		case phaseTerminating:
-			entry.State = control.Draining
-		default:
-			entry.State = control.Gone
-		}
-		member := Member{Entry: entry, ID: m.ID, Addr: m.HostPort}
-		if m.UpSinceMS > 0 {
-			member.StartedAt = time.UnixMilli(m.UpSinceMS)
-			member.StartedAtS = float64(m.UpSinceMS) / 1000
-		}
-		c.Members = append(c.Members, member)
+	for i := range e.Members {
+		c.Members = append(c.Members, e.Members[i].member(names))
 	}
 	return c
 }
@@ -126,16 +82,29 @@
 	lastIndex uint64     // highest index of the updates passed on
 	behind    int        // responses in a row by which the coordinator has fewer updates than were received
 	timing    pollTiming // how long responses are awaited
+
+	known      knownList      // the updates in the configuration
+	received   nodeSet        // the list by the updates up to lastIndex
+	inherited  *inheritedList // used in place of received; nil: none
+	answeredAt time.Time      // of the last response
+	receivedAt time.Time      // of the last response with an update, or of the first one; zero: there is none
+	renumbered int            // how often the coordinator has numbered its updates anew
+	revision   uint64         // counts the changes of what the coordinator told
 }
 
 // NewCoordinatorClient returns a CoordinatorClient that has already passed known on to sink.
 func NewCoordinatorClient(known Updates, names Names, sink Sink, log *zap.Logger) *CoordinatorClient {
 	c := &CoordinatorClient{Names: names, Sink: sink, Log: log, newAddr: make(chan string, 1), pollRequested: make(chan struct{}, 1),
-		dial: dialTCP, timing: newPollTiming()}
+		dial: dialTCP, timing: newPollTiming(), received: make(nodeSet)}
 	c.apply(known)
+	c.known = newKnownList(known, c.lastIndex)
 	return c
 }
 
+// SetKnownTime sets when the configuration with the known updates was written. It must be called
+// before Inherit.
+func (c *CoordinatorClient) SetKnownTime(writtenAt time.Time) { c.known.writtenAt = writtenAt }
+
 // SetAddr makes Run poll at another address. The indexes of updates continue there.
 func (c *CoordinatorClient) SetAddr(addr string) {
 	for {
@@ -160,10 +129,19 @@
 // index. Except before Run, c.mu is held.
 func (c *CoordinatorClient) apply(u Updates) (anyNew bool) {
 	indexBefore := c.lastIndex
-	c.lastIndex = u.deliver(c.lastIndex, c.Names, c.Sink)
+	c.lastIndex = u.deliver(c.lastIndex, c.receive)
 	return c.lastIndex > indexBefore
 }
 
+// receive applies one update, and passes it on to Sink unless an inherited list is in use.
+func (c *CoordinatorClient) receive(update *endpoints) {
+	c.received.apply(update)
+	c.revision++
+	if c.inherited == nil {
+		c.Sink(update.toChange(c.Names))
+	}
+}
+
 // maxBehind is the number of responses in a row by which the coordinator has fewer updates than were
 // received, after which it counts as another one, whose numbers start anew. One may come from a replica
 // that lags.
@@ -180,11 +158,15 @@
 		if c.behind++; c.behind >= maxBehind {
 			c.Log.Warn("coordinator numbers its updates anew; fetching the whole list", zap.Uint64("received", c.lastIndex), zap.Uint64("has", u.Index))
 			c.lastIndex, c.behind = 0, 0
+			c.renumbered++
 		}
 	} else {
 		c.behind = 0
 	}
+	revisionBefore := c.revision
 	anyNew = c.apply(u)
+	c.noteReceived(time.Now(), c.revision != revisionBefore)
+	c.reviewInherited(&u)
 	if c.OnResponse != nil {
 		c.OnResponse(requested)
 	}
@@ -192,16 +174,18 @@
 }
 
 // Replay passes all updates on to sink, like a client that has polled from the start.
-func Replay(u Updates, names Names, sink Sink) { u.deliver(0, names, sink) }
+func Replay(u Updates, names Names, sink Sink) {
+	u.deliver(0, func(update *endpoints) { sink(update.toChange(names)) })
+}
 
-// deliver passes the updates with an index above lastIndex on to sink, and those without an
+// deliver passes the updates with an index above lastIndex on to receive, and those without an
 // index. It returns the highest index passed on so far.
 //
 // Guard: only indexes of updates received count. The response's own index may be ahead, if an
 // update occurred while the response was written: that update would then never be requested.
 // All updates of a response are compared with the index before the response, so that none is
 // skipped where two have the same index or their order is wrong.
-func (u *Updates) deliver(lastIndex uint64, names Names, sink Sink) uint64 {
+func (u *Updates) deliver(lastIndex uint64, receive func(*endpoints)) uint64 {
 	indexBefore := lastIndex
 	for _, update := range u.Updates {
 		if update.Index != 0 && update.Index <= indexBefore {
@@ -209,7 +193,7 @@
 		}
 		lastIndex = max(lastIndex, update.Index)
 		if update.Endpoints != nil {
-			sink(update.Endpoints.toChange(names))
+			receive(update.Endpoints)
 		}
 	}
 	return lastIndex
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -93,10 +93,9 @@
 // While the DNS server does not respond, earlier records are used until their TTL expires.
 func TestRecordsExpire(t *testing.T) {
 	var last Change
-	d := &DNSSDClient{instances: map[string]instance{}, Sink: func(c Change) { last = c }}
+	d := &DNSSDClient{Sink: func(c Change) { last = c }}
 	now := time.Now()
-	m := Member{ID: "a", Entry: control.Entry{State: control.Ready}}
-	d.pending = map[string]instance{"a": {m, now.Add(time.Minute)}}
+	d.pending = map[string]instance{"a": {Node{ID: "a", Phase: phaseInService}, now.Add(time.Minute)}}
 	d.applyPending(now)
 	last = Change{}
 	if d.expire(now.Add(59 * time.Second)); len(last.Members) != 0 {
@@ -108,7 +107,7 @@
 }
 
 func TestTXTErrorNamesKey(t *testing.T) {
-	if _, err := (&DNSSDClient{}).parseTXT("a", []string{"cell=x"}); err == nil || !strings.Contains(err.Error(), "cell") {
+	if _, err := parseTXT("a", []string{"cell=x"}); err == nil || !strings.Contains(err.Error(), "cell") {
 		t.Error(err)
 	}
 }
--- a/internal/directory/dnssd.go
+++ b/internal/directory/dnssd.go
@@ -7,12 +7,12 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 	"golang.org/x/net/dns/dnsmessage"
 
-	"millethinge/control"
 	"millethinge/internal/diagnostic"
 )
 
@@ -34,7 +34,11 @@
 	Sink       Sink   // receives the changes
 	Log        *zap.Logger
 
-	instances    map[string]instance // found so far, by domain name
+	mu       sync.Mutex          // guards the fields of this group, and calls of Sink
+	found    map[string]instance // found so far, by domain name
+	answered bool                // whether the server has listed the instances
+	revision uint64              // counts the changes of what the server told
+
 	pending      map[string]instance // found in this round and not yet applied
 	appliedAt    time.Time           // when pending was last applied
 	patience     patience            // for the response to a query
@@ -44,13 +48,13 @@
 
 // instance is a media node as its records describe it until they expire.
 type instance struct {
-	member  Member
+	node    Node
 	expires time.Time
 }
 
 // Run queries the DNS server until ctx ends, again each time the shortest TTL expires.
 func (d *DNSSDClient) Run(ctx context.Context) error {
-	d.instances, d.pending = make(map[string]instance), make(map[string]instance)
+	d.pending = make(map[string]instance)
 	d.patience, d.overdueAfter = patience{shortest: minQueryTimeout, longest: maxQueryTimeout}, minQueryTimeout
 	for {
 		start := time.Now()
@@ -90,19 +94,31 @@
 // update adds instances that were found, and removes those of the others for which remove returns
 // true. It passes on to the sink what has changed.
 func (d *DNSSDClient) update(found map[string]instance, remove func(name string, inst instance) bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.updateLocked(found, remove)
+}
+
+// updateLocked is update for callers that hold d.mu.
+func (d *DNSSDClient) updateLocked(found map[string]instance, remove func(name string, inst instance) bool) {
+	if d.found == nil {
+		d.found = make(map[string]instance)
+	}
 	var c Change
-	for name, inst := range d.instances {
+	for name, inst := range d.found {
 		if _, ok := found[name]; !ok && remove(name, inst) {
-			delete(d.instances, name)
-			inst.member.State = control.Gone
-			c.Members = append(c.Members, inst.member)
+			delete(d.found, name)
+			d.revision++
+			inst.node.Phase = phaseTerminated
+			c.Members = append(c.Members, inst.node.member(d.Names))
 		}
 	}
 	for name, inst := range found {
-		if d.instances[name].member != inst.member {
-			c.Members = append(c.Members, inst.member)
+		if d.found[name].node != inst.node {
+			c.Members = append(c.Members, inst.node.member(d.Names))
 		}
-		d.instances[name] = inst
+		d.found[name] = inst
+		d.revision++
 	}
 	if len(c.Members) > 0 {
 		d.Sink(c)
@@ -128,6 +144,7 @@
 			pointers = append(pointers, r)
 		}
 	}
+	d.noteAnswered()
 	d.update(nil, func(name string, _ instance) bool { return !listed[name] })
 	minTTL := maxRefreshInterval
 	for _, r := range pointers {
@@ -187,9 +204,9 @@
 		}
 		ttl = min(ttl, recordTTL(addrRecord))
 	}
-	m, err := d.parseTXT(name, txtRecord.Body.(*dnsmessage.TXTResource).TXT)
-	m.Addr = netip.AddrPortFrom(addr, srv.Port).String()
-	return instance{member: m}, ttl, err
+	node, err := parseTXT(name, txtRecord.Body.(*dnsmessage.TXTResource).TXT)
+	node.HostPort = netip.AddrPortFrom(addr, srv.Port).String()
+	return instance{node: node}, ttl, err
 }
 
 // find returns a record of the given name and type, from received or by a query. Its body is
@@ -223,9 +240,9 @@
 	return dnsmessage.Resource{}, &InstanceError{name, recordTypeName(recordType), errNoRecord}
 }
 
-// parseTXT builds a node's entry from the keys of its TXT record. The case of keys is ignored,
+// parseTXT builds a node from the keys of its TXT record. The case of keys is ignored,
 // and the first of several equal keys counts (RFC 6763, section 6.4).
-func (d *DNSSDClient) parseTXT(name string, txt []string) (Member, error) {
+func parseTXT(name string, txt []string) (Node, error) {
 	values := make(map[string]string)
 	for _, t := range txt {
 		k, v, _ := strings.Cut(t, "=")
@@ -235,12 +252,9 @@
 			}
 		}
 	}
-	m := Member{ID: name, Entry: control.Entry{
-		Server: ServerIDOf(name), State: control.Ready, Weight: 1,
-		Zone: index(d.Names.Zones, values["zone"]), MachineKind: index(d.Names.MachineKinds, values["kind"]),
-	}}
+	n := Node{ID: name, Phase: phaseInService, Size: 1, Locality: values["zone"], Flavor: values["kind"]}
 	if values["state"] == "draining" {
-		m.State = control.Draining
+		n.Phase = phaseTerminating
 	}
 	var err error
 	readNumber := func(txtKey string, set func(float64)) {
@@ -253,10 +267,8 @@
 			set(f)
 		}
 	}
-	readNumber("cell", func(v float64) { m.Cell = int(v) })
-	readNumber("size", func(v float64) { m.Weight = v })
-	readNumber("up", func(v float64) {
-		m.StartedAt, m.StartedAtS = time.UnixMilli(int64(v)), v/1000
-	})
-	return m, err
+	readNumber("cell", func(v float64) { n.Cell = int(v) })
+	readNumber("size", func(v float64) { n.Size = v })
+	readNumber("up", func(v float64) { n.UpSinceMS = int64(v) })
+	return n, err
 }
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -1,6 +1,6 @@
 // Package handover lets two processes of one manager, a predecessor and the successor that
 // replaces it in an upgrade, find each other and listen at the same address, and hands over
-// operator overrides and established sessions. The processes communicate only through a folder
+// operator overrides, the list of media nodes and established sessions. The processes communicate only through a folder
 // that they share.
 package handover
 
@@ -17,6 +17,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/renameio/v2"
 
+	"millethinge/internal/directory"
 	"millethinge/internal/override"
 )
 
@@ -29,6 +30,8 @@
 	maxFileBytes  = 8 << 20
 	overridesFile = "orders"
 	handoverFile  = "estate"
+	listFile      = "list"
+	instancesFile = "instances"
 	// mailFileName and playersFileName begin the names of files about players that may reconnect.
 	mailFileName    = "mail"
 	playersFileName = "players"
@@ -71,7 +74,7 @@
 
 // Remedy returns what an operator can do about the error.
 func (e *BadFileError) Remedy() string {
-	return "operator overrides from before this start are not known: repeat the calls; the next write replaces the file"
+	return "only what this file held is not known: if it is `orders`, repeat the operators' calls made before this start; the next write replaces the file"
 }
 
 // envelope is the body of a file, after its header.
@@ -160,7 +163,7 @@
 
 // Remedy returns what an operator can do about the error.
 func (e *FolderError) Remedy() string {
-	return "set $TMPDIR to a folder that the program can write to; otherwise an upgrade loses operator overrides and cuts established sessions off"
+	return "set $TMPDIR to a folder that the program can write to; otherwise an upgrade loses operator overrides, begins with the list in the configuration, and cuts established sessions off"
 }
 
 // LoadOverrides reads the stored overrides. changed is false if there are none or if they have not
@@ -174,6 +177,26 @@
 	return writeFile(f, overridesFile, overrides)
 }
 
+// LoadList reads the list of media nodes that the coordinator told a process. changed is false if
+// there is none or if it has not changed since it was last read.
+func (f *Folder) LoadList() (list directory.Snapshot, changed bool, err error) {
+	return readFile[directory.Snapshot](f, listFile)
+}
+
+// StoreList replaces the stored list of media nodes.
+func (f *Folder) StoreList(list directory.Snapshot) error { return writeOwnFile(f, listFile, list) }
+
+// LoadInstances reads the instances that the DNS server told a process. changed is false if there
+// are none or if they have not changed since they were last read.
+func (f *Folder) LoadInstances() (instances []directory.Instance, changed bool, err error) {
+	return readFile[[]directory.Instance](f, instancesFile)
+}
+
+// StoreInstances replaces the stored instances.
+func (f *Folder) StoreInstances(instances []directory.Instance) error {
+	return writeOwnFile(f, instancesFile, instances)
+}
+
 // RemoveHandovers removes what predecessors handed over, which is meant for their successors
 // only, and the temporary files of a process that was killed while it wrote one.
 func (f *Folder) RemoveHandovers() {
@@ -218,12 +241,38 @@
 // writeFile replaces a file atomically: a reader finds either the old or the new content, even if
 // this process is killed in between.
 func writeFile[T any](f *Folder, name string, value T) error {
+	_, err := replaceFile(f, name, value)
+	return err
+}
+
+// writeOwnFile is writeFile for a file that this process also reads: its own content counts as read.
+func writeOwnFile[T any](f *Folder, name string, value T) error {
+	info, err := replaceFile(f, name, value)
+	if err == nil {
+		f.lastRead[name] = info
+	}
+	return err
+}
+
+// replaceFile replaces a file atomically and describes the new one.
+func replaceFile[T any](f *Folder, name string, value T) (info fs.FileInfo, err error) {
 	data, err := encode(envelope[T]{f.name, f.listen, value})
 	if err != nil {
-		return err
+		return nil, err
+	}
+	file, err := renameio.NewPendingFile(filepath.Join(f.path, name), renameio.WithTempDir(f.path), renameio.WithStaticPermissions(0o600))
+	if err != nil {
+		return nil, &FolderError{Path: f.path, Err: err}
+	}
+	defer file.Cleanup()
+	if _, err = file.Write(data); err == nil {
+		info, err = file.Stat()
+	}
+	if err == nil {
+		err = file.CloseAtomicallyReplace()
 	}
-	if err := renameio.WriteFile(filepath.Join(f.path, name), data, 0o600, renameio.WithTempDir(f.path)); err != nil {
-		return &FolderError{Path: f.path, Err: err}
+	if err != nil {
+		return nil, &FolderError{Path: f.path, Err: err}
 	}
-	return nil
+	return info, nil
 }
--- a/internal/handover/state_test.go
+++ b/internal/handover/state_test.go
@@ -10,6 +10,7 @@
 
 	"millethinge/control"
 	"millethinge/internal/broker"
+	"millethinge/internal/directory"
 	"millethinge/internal/override"
 )
 
@@ -23,16 +24,17 @@
 	return f
 }
 
-// A file that is truncated at any length, has any byte changed, or was written by another manager
-// must be rejected with a BadFileError and not be used. A file that is stored after it must be.
-func TestUnusableFilesAreRejected(t *testing.T) {
+// expectRejected stores a value, and expects that its file is rejected with a BadFileError, and not used,
+// if it is truncated at any length, has any byte changed, or was written by another manager. The value
+// that is stored after it must be used. load reads the file, and reports whether there is any value.
+func expectRejected[T any](t *testing.T, file string, want T, store func(*Folder, T) error, load func(*Folder) (value T, changed bool, err error)) (got T) {
+	t.Helper()
 	parent := t.TempDir()
 	f := openFolder(t, parent, "n1")
-	want := StoredOverrides{Drain: override.Override{Active: true, At: time.Unix(7, 5)}, Nodes: map[string]override.Override{"s-1": {Active: true, At: time.Unix(8, 123456789)}}}
-	if err := f.StoreOverrides(want); err != nil {
+	if err := store(f, want); err != nil {
 		t.Fatal(err)
 	}
-	filePath := filepath.Join(f.path, overridesFile)
+	filePath := filepath.Join(f.path, file)
 	data, err := os.ReadFile(filePath)
 	if err != nil {
 		t.Fatal(err)
@@ -43,8 +45,8 @@
 			t.Fatal(err)
 		}
 		var badFile *BadFileError
-		if overrides, changed, err := openFolder(t, parent, "n1").LoadOverrides(); changed || !errors.As(err, &badFile) || overrides.Nodes != nil {
-			t.Fatalf("%s, offset %d: not rejected: %v, %v", fault, offset, overrides, err)
+		if value, changed, err := load(openFolder(t, parent, "n1")); changed || !errors.As(err, &badFile) || !reflect.ValueOf(&value).Elem().IsZero() {
+			t.Fatalf("%s: %s, offset %d: not rejected: %v, %v", file, fault, offset, value, err)
 		}
 	}
 	for i := range data {
@@ -53,22 +55,42 @@
 		changedData[i] ^= 0x10
 		expectRejected(changedData, "changed byte", i)
 	}
-	other, err := encode(envelope[StoredOverrides]{"n2", "127.0.0.1:5060", want})
+	other, err := encode(envelope[T]{"n2", "127.0.0.1:5060", want})
 	if err != nil {
 		t.Fatal(err)
 	}
 	expectRejected(other, "file of another manager", 0)
 
-	if err := f.StoreOverrides(want); err != nil {
+	if err := store(f, want); err != nil {
 		t.Fatal(err)
 	}
-	got, changed, err := openFolder(t, parent, "n1").LoadOverrides()
-	if err != nil || !changed || !got.Drain.At.Equal(want.Drain.At) || !got.Nodes["s-1"].At.Equal(want.Nodes["s-1"].At) || !got.Nodes["s-1"].Active {
-		t.Errorf("%+v, %v, %v", got, changed, err)
+	got, changed, err := load(openFolder(t, parent, "n1"))
+	if err != nil || !changed {
+		t.Errorf("%s: %+v, %v, %v", file, got, changed, err)
+	}
+	return got
+}
+
+// A file that is truncated at any length, has any byte changed, or was written by another manager
+// must be rejected with a BadFileError and not be used. A file that is stored after it must be.
+func TestUnusableFilesAreRejected(t *testing.T) {
+	want := StoredOverrides{Drain: override.Override{Active: true, At: time.Unix(7, 5)}, Nodes: map[string]override.Override{"s-1": {Active: true, At: time.Unix(8, 123456789)}}}
+	got := expectRejected(t, overridesFile, want, (*Folder).StoreOverrides, (*Folder).LoadOverrides)
+	if !got.Drain.At.Equal(want.Drain.At) || !got.Nodes["s-1"].At.Equal(want.Nodes["s-1"].At) || !got.Nodes["s-1"].Active {
+		t.Errorf("%+v", got)
 	}
 	if merged := got.Merge(want); merged {
 		t.Error("a stored override counts as newer than the original")
 	}
+	node := directory.Node{ID: "s-1", HostPort: "h:1", Locality: "east", Flavor: "std", Cell: 2, Phase: "terminating", Size: 1.5, UpSinceMS: 7}
+	list := directory.Snapshot{Index: 41, Nodes: []directory.Node{node}, ReceivedAt: time.Unix(8, 123456789).UTC(), KnownHash: 1 << 63, Renumbered: 1}
+	if got := expectRejected(t, listFile, list, (*Folder).StoreList, (*Folder).LoadList); !reflect.DeepEqual(got, list) {
+		t.Errorf("%+v, want %+v", got, list)
+	}
+	instances := []directory.Instance{{Node: node, Expires: time.Unix(9, 1).UTC()}}
+	if got := expectRejected(t, instancesFile, instances, (*Folder).StoreInstances, (*Folder).LoadInstances); !reflect.DeepEqual(got, instances) {
+		t.Errorf("%+v, want %+v", got, instances)
+	}
 }
 
 // The stored bytes must not change, since other versions of the program read and write them: the
@@ -87,6 +109,17 @@
 	}
 }
 
+// The stored bytes of a list must not change either.
+func TestStoredListFormat(t *testing.T) {
+	const stored = "mlth\x00\x01\x00\x00\x00rǗl<\xe6]\xcd%\xa3\x01bn1\x02n127.0.0.1:5060\x03\xa5\x01\x18)\x02\x81\xa8\x01cs-1\x02ch:1\x03deast\x04cstd\x05\x02\x06kterminating\a\xfb?\xf8\x00\x00\x00\x00\x00\x00\b\a\x03x\x1e1970-01-01T00:00:08.000000005Z\x04\t\x05\x01"
+	list := directory.Snapshot{Index: 41, Nodes: []directory.Node{{ID: "s-1", HostPort: "h:1", Locality: "east", Flavor: "std", Cell: 2, Phase: "terminating", Size: 1.5, UpSinceMS: 7}},
+		ReceivedAt: time.Unix(8, 5).UTC(), KnownHash: 9, Renumbered: 1}
+	data, err := encode(envelope[directory.Snapshot]{"n1", "127.0.0.1:5060", list})
+	if err != nil || string(data) != stored {
+		t.Errorf("stored as %q, want %q, %v", data, stored, err)
+	}
+}
+
 // register registers a process that started at startS, in Unix seconds.
 func register(t *testing.T, parent string, startS int64) *Process {
 	t.Helper()
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -66,6 +66,7 @@
 	handingPlayersOver bool                     // whether the successor takes over players that may reconnect, too
 	successorBorn      int64                    // identifies the successor: the time at which it started
 	claimable          []broker.PeerID          // the processes that the broker knows to answer claims
+	sources            listSources              // of the list that is shared with other processes
 	finalHandover      bool                     // whether this process has handed over for the last time, and adopts no more
 }
 
@@ -232,7 +233,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
-			s.checkOnProcesses()
+			s.checkOnProcesses(ctx)
 			tick.Reset(s.checkInterval())
 		}
 	}
@@ -248,15 +249,17 @@
 }
 
 // checkOnProcesses checks for other processes once, and handles what they have stored.
-func (s *adminService) checkOnProcesses() {
+func (s *adminService) checkOnProcesses(ctx context.Context) {
 	wasShared := s.shared.Load()
 	others, known := s.checkProcesses()
 	if overrides := s.loadOverrides(); overrides != nil {
 		s.nodeList.AfterPending(func() { s.applyOverrides(overrides) })
 	}
-	s.adoptSessions()
+	s.shareList(ctx)
+	awaitList := func() { s.inheritList(ctx) }
+	s.adoptSessions(awaitList)
 	if known {
-		s.exchangeWithPeers(others)
+		s.exchangeWithPeers(others, awaitList)
 	}
 	if wasShared && !s.shared.Load() {
 		s.folder.RemoveHandovers() // no process is left to use the files of one that was killed
@@ -315,12 +318,24 @@
 	return stored.Nodes
 }
 
-// adoptSessions takes over the sessions that predecessors have handed over.
-func (s *adminService) adoptSessions() {
+// adoptSessions takes over the sessions that predecessors have handed over. inheritList has the list
+// here include what other processes have stored.
+//
+// Guard: a predecessor stores its list before its sessions. The list is read after them, so that no
+// session is at a media node that it lacks.
+func (s *adminService) adoptSessions(inheritList func()) {
+	for _, h := range s.loadHandovers() {
+		inheritList()
+		s.sessionBroker.Adopt(h, s.linesFront.InheritedClient)
+	}
+}
+
+// loadHandovers returns what predecessors have handed over since the last call.
+func (s *adminService) loadHandovers() (handovers []broker.Handover) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.finalHandover {
-		return
+		return nil
 	}
 	for {
 		h, changed, err := s.process.LoadHandover()
@@ -328,9 +343,9 @@
 			warnOperator(s.log, err)
 		}
 		if !changed {
-			return
+			return handovers
 		}
-		s.sessionBroker.Adopt(h, s.linesFront.InheritedClient)
+		handovers = append(handovers, h)
 	}
 }
 
@@ -361,6 +376,7 @@
 		return
 	}
 	s.finalHandover = h.Final
+	s.storeListLocked(time.Now())
 	s.chooseSuccessor()
 	if err := s.process.StoreHandover(h, s.successorBorn); err != nil {
 		warnOperator(s.log, err)
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -35,7 +35,12 @@
 	}
 	s.sessionBroker, s.nodeList = sessionBroker, nodeList
 	if others, known := s.checkProcesses(); known {
-		s.exchangeWithPeers(others)
+		s.exchangeWithPeers(others, func() {
+			s.mu.Lock()
+			s.inheritListLocked()
+			s.mu.Unlock()
+			nodeList.ProcessPending() // the list's actor does not run yet
+		})
 	}
 }
 
@@ -57,13 +62,20 @@
 //
 // Guard: others must be found before the files are read. What a process that is not among them
 // any more has stored is then complete, and reaches the broker before the news of its end.
-func (s *adminService) exchangeWithPeers(others handover.Others) {
+// inheritList is as for adoptSessions.
+func (s *adminService) exchangeWithPeers(others handover.Others, inheritList func()) {
 	if s.mail == nil {
 		return
 	}
+	handovers := s.loadPlayers()
+	if len(handovers) > 0 {
+		inheritList()
+	}
+	for _, h := range handovers {
+		s.sessionBroker.AdoptPlayers(h.from, h.PlayerHandover)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.adoptPlayers()
 	messages, err := s.mail.Receive()
 	if err != nil {
 		warnOperator(s.log, err)
@@ -78,10 +90,18 @@
 	}
 }
 
-// adoptPlayers takes over the players' sessions that predecessors have handed over. s.mu is held.
-func (s *adminService) adoptPlayers() {
+// receivedPlayers are players' sessions that a predecessor has handed over.
+type receivedPlayers struct {
+	from broker.PeerID
+	broker.PlayerHandover
+}
+
+// loadPlayers returns the players' sessions that predecessors have handed over since the last call.
+func (s *adminService) loadPlayers() (received []receivedPlayers) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.finalHandover {
-		return
+		return nil
 	}
 	for {
 		from, h, changed, err := s.process.LoadPlayers()
@@ -89,9 +109,9 @@
 			warnOperator(s.log, err)
 		}
 		if !changed {
-			return
+			return received
 		}
-		s.sessionBroker.AdoptPlayers(from, h)
+		received = append(received, receivedPlayers{from, h})
 	}
 }
 
@@ -120,6 +140,7 @@
 	if pending == nil || s.finalHandover {
 		return
 	}
+	s.storeListLocked(time.Now())
 	s.chooseSuccessor()
 	if err := s.process.StorePlayers(*pending, s.successorBorn); err != nil {
 		warnOperator(s.log, err)
@@ -139,6 +160,7 @@
 		warnOperator(s.log, err)
 	}
 	s.pendingPlayers.Store(nil)
+	s.storeListLocked(time.Now())
 	s.chooseSuccessor()
 	if err := s.process.StorePlayers(h, s.successorBorn); err != nil {
 		warnOperator(s.log, err)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -135,12 +135,17 @@
 	if service != nil {
 		coordinator.PollNow() // readiness waits for the first answer, which must not wait for a change of the list
 	}
+	coordinator.SetKnownTime(cfg.KnownTime)
 	service.restoreOverrides()
-	nodeList.ProcessPending()
+	var discovery *directory.DNSSDClient
 	if d := cfg.Operator.DNSSD; d != nil {
-		discovery := &directory.DNSSDClient{
+		discovery = &directory.DNSSDClient{
 			ServerAddr: d.Server, Service: d.Service, Names: cfg.DirectoryNames, Log: log, Sink: nodeList.SinkFor("dns-sd"),
 		}
+	}
+	service.startSharedList(coordinator, discovery)
+	nodeList.ProcessPending()
+	if discovery != nil {
 		group.Go(func() error { return discovery.Run(ctx) })
 	}
 
