server: split the operators' service by job

The watch for other processes, the hand-over of sessions and the overrides are now files of their own; every line is the same but one comment (compared sorted).

--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -24,14 +23,6 @@
 	"millethinge/internal/override"
 )
 
-// processCheckInterval is the time between two checks for other processes of this manager
-// and for operator overrides that they stored. A check takes a few microseconds.
-const processCheckInterval = 50 * time.Millisecond
-
-// claimCheckInterval is the time between two such checks while other processes may send claims:
-// players' set-ups wait for them.
-const claimCheckInterval = 10 * time.Millisecond
-
 // coordinatorTimeout bounds the time that readiness waits for the coordinator's first
 // answer.
 const coordinatorTimeout = 2 * time.Second
@@ -117,16 +108,6 @@
 	log.Warn("handover folder could not be used", diagnostic.Fields(err)...)
 }
 
-// withOverrides returns a sink that applies the operator overrides to each change of the
-// list before it passes the change to listSink.
-func (s *adminService) withOverrides(listSink directory.Sink) directory.Sink {
-	if s == nil {
-		return listSink
-	}
-	s.listSink = listSink
-	return func(c directory.Change) { listSink(s.overrides.ApplyListChange(c)) }
-}
-
 // Gate returns the gate by which a drain turns clients away, or nil for a nil s.
 func (s *adminService) Gate() *override.Gate {
 	if s == nil {
@@ -209,260 +190,6 @@
 	s.publishReadiness()
 }
 
-// publishReadiness tells the other processes whether this one is ready. Guard: a predecessor
-// leaves its established sessions to a process that is, so a process that has been asked to
-// end must not appear ready.
-func (s *adminService) publishReadiness() {
-	if s.process == nil {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if err := s.process.SetServing(s.Ready()); err != nil {
-		warnOperator(s.log, err)
-	}
-}
-
-// watchProcesses regularly checks for other processes, loads the overrides that they stored,
-// and adopts the sessions that they hand over, until ctx ends.
-func (s *adminService) watchProcesses(ctx context.Context) error {
-	tick := time.NewTicker(processCheckInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-			s.checkOnProcesses(ctx)
-			tick.Reset(s.checkInterval())
-		}
-	}
-}
-
-// checkInterval returns the time until the next check: shorter while claims of players may wait
-// for it.
-func (s *adminService) checkInterval() time.Duration {
-	if s.mail != nil && s.Shared() {
-		return claimCheckInterval
-	}
-	return processCheckInterval
-}
-
-// checkOnProcesses checks for other processes once, and handles what they have stored.
-func (s *adminService) checkOnProcesses(ctx context.Context) {
-	wasShared := s.shared.Load()
-	others, known := s.checkProcesses()
-	if overrides := s.loadOverrides(); overrides != nil {
-		s.nodeList.AfterPending(func() { s.applyOverrides(overrides) })
-	}
-	s.shareList(ctx)
-	awaitList := func() { s.inheritList(ctx) }
-	s.adoptSessions(awaitList)
-	if known {
-		s.exchangeWithPeers(others, awaitList)
-	}
-	if wasShared && !s.shared.Load() {
-		s.folder.RemoveHandovers() // no process is left to use the files of one that was killed
-	}
-}
-
-// checkProcesses returns the other live processes of this manager, and halves the memory
-// limit and the limits on connections while there are any. known is false if it could not find
-// out. Guard: watchProcesses and the handling of a signal may call it
-// at the same time; the limits are those of the last check.
-func (s *adminService) checkProcesses() (others handover.Others, known bool) {
-	if s.process == nil {
-		return handover.Others{}, false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	others, err := s.process.FindOthers()
-	if err != nil {
-		return others, false
-	}
-	if shared := others.Alive > 0; s.shared.Swap(shared) != shared {
-		part := int64(1)
-		if shared {
-			part = 2
-		}
-		debug.SetMemoryLimit(int64(s.cfg.MemoryMB) << 20 * 3 / 4 / part)
-		s.log.Info("processes of this manager", zap.Int("others", others.Alive))
-	}
-	return others, true
-}
-
-// loadOverrides merges the overrides that another process stored. It returns those for media
-// nodes if any override is new, otherwise nil.
-func (s *adminService) loadOverrides() map[string]override.Override {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.loadOverridesLocked()
-}
-
-// loadOverridesLocked is loadOverrides for callers that hold s.mu.
-func (s *adminService) loadOverridesLocked() map[string]override.Override {
-	stored, changed, err := s.folder.LoadOverrides()
-	if err != nil {
-		warnOperator(s.log, err)
-	}
-	if !changed {
-		return nil
-	}
-	previousDrain := s.overrideState.Drain
-	if !s.overrideState.Merge(stored) {
-		return nil
-	}
-	if s.overrideState.Drain != previousDrain {
-		s.applyDrain(s.overrideState.Drain)
-	}
-	return stored.Nodes
-}
-
-// adoptSessions takes over the sessions that predecessors have handed over. inheritList has the list
-// here include what other processes have stored.
-//
-// Guard: a predecessor stores its list before its sessions. The list is read after them, so that no
-// session is at a media node that it lacks.
-func (s *adminService) adoptSessions(inheritList func()) {
-	for _, h := range s.loadHandovers() {
-		inheritList()
-		s.sessionBroker.Adopt(h, s.linesFront.InheritedClient)
-	}
-}
-
-// loadHandovers returns what predecessors have handed over since the last call.
-func (s *adminService) loadHandovers() (handovers []broker.Handover) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.finalHandover {
-		return nil
-	}
-	for {
-		h, changed, err := s.process.LoadHandover()
-		if err != nil {
-			warnOperator(s.log, err)
-		}
-		if !changed {
-			return handovers
-		}
-		handovers = append(handovers, h)
-	}
-}
-
-// HandoverFunc returns the function by which the broker hands its established sessions over
-// to a successor, or nil where no successor is possible. The function does not block, since
-// the write to disk may.
-func (s *adminService) HandoverFunc() func(broker.Handover) {
-	if s == nil || s.folder == nil {
-		return nil
-	}
-	return func(h broker.Handover) { go s.handOver(h) }
-}
-
-// handOverRemaining hands over the sessions that are still established once the broker has
-// ended, if this process is leaving its sessions to a successor.
-func (s *adminService) handOverRemaining(sessionBroker *broker.Broker) {
-	if s != nil && s.handingOver {
-		s.handOverPlayers(sessionBroker)
-		s.handOver(sessionBroker.FinalHandover())
-	}
-}
-
-// handOver stores h for the successor, unless this process has handed over for the last time.
-func (s *adminService) handOver(h broker.Handover) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.folder == nil || s.finalHandover {
-		return
-	}
-	s.finalHandover = h.Final
-	s.storeListLocked(time.Now())
-	s.chooseSuccessor()
-	if err := s.process.StoreHandover(h, s.successorBorn); err != nil {
-		warnOperator(s.log, err)
-	}
-}
-
-// chooseSuccessor chooses the process that takes the sessions over. s.mu is held.
-//
-// Guard: the successor may have ended, or may have been asked to end, since it was chosen,
-// so it is chosen anew.
-func (s *adminService) chooseSuccessor() {
-	if others, err := s.process.FindOthers(); err == nil {
-		s.successorBorn = others.ChooseSuccessor(s.successorBorn)
-	}
-}
-
-// applyDrain closes or opens the gate for clients as ordered.
-func (s *adminService) applyDrain(override override.Override) {
-	if override.Active {
-		s.gate.StartDrain(override.At)
-	} else {
-		s.gate.StopDrain()
-	}
-}
-
-// applyOverrides puts overrides for media nodes into effect. It must be called only from the
-// list's actor goroutine.
-func (s *adminService) applyOverrides(overrides map[string]override.Override) {
-	if c := s.overrides.Merge(overrides); len(c.Members) > 0 {
-		s.listSink(c)
-	}
-}
-
-// restoreOverrides applies the stored overrides to the initial list.
-func (s *adminService) restoreOverrides() {
-	if s != nil {
-		s.overrides.Merge(s.overrideState.Nodes)
-	}
-}
-
-// storeOverrides merges newer overrides and stores the result for the other processes.
-func (s *adminService) storeOverrides(newer handover.StoredOverrides) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.overrideState.Merge(newer)
-	if s.folder == nil {
-		return
-	}
-	if overrides := s.loadOverridesLocked(); overrides != nil {
-		s.nodeList.AfterPending(func() { s.applyOverrides(overrides) })
-	}
-	if err := s.folder.StoreOverrides(s.overrideState); err != nil {
-		warnOperator(s.log, err)
-	}
-}
-
-// leaveToSuccessor marks this process as stopping and reports whether a successor takes over.
-// If one does, new connections are directed to it, and this process's established sessions
-// are left to it.
-func (s *adminService) leaveToSuccessor(listeners ...net.Listener) bool {
-	if s == nil {
-		return false
-	}
-	s.stopping.Store(true)
-	s.publishReadiness()
-	others, _ := s.checkProcesses()
-	if len(others.Successors) == 0 {
-		return false
-	}
-	if n := len(others.Successors); n > 1 {
-		s.log.Info("several younger processes serve; the youngest takes over the established sessions", zap.Int("serve", n), zap.Int64("born", others.Successors[0]))
-	}
-	for _, l := range listeners {
-		if l == nil || !others.AtMostOneSeen {
-			continue
-		}
-		if err := handover.DirectToSuccessor(l); err != nil {
-			s.log.Warn("new connections are not led to the younger process", zap.Error(err))
-		}
-	}
-	s.gate.StartHandover(time.Now())
-	s.handingOver = true
-	s.handingPlayersOver = s.mail != nil && slices.Contains(others.Claimable, others.Successors[0])
-	return true
-}
-
 // close removes the mark of this process from the shared folder.
 func (s *adminService) close() {
 	if s != nil && s.process != nil {
@@ -470,7 +197,7 @@
 	}
 }
 
-// The following methods implement admin.Backend.
+// The following methods, SetDisabled and SetDraining implement admin.Backend.
 
 // Ready reports whether this process serves and has not been asked to end.
 func (s *adminService) Ready() bool { return s.ready.Load() && !s.stopping.Load() }
@@ -506,41 +233,3 @@
 		Rejected: s.rejections.Counts(),
 	}, nil
 }
-
-// SetDisabled disables a media node, or enables it again.
-func (s *adminService) SetDisabled(ctx context.Context, member string, disable bool) error {
-	ordered := override.Override{Active: disable, At: time.Now()}
-	done := make(chan error, 1)
-	s.nodeList.AfterPending(func() {
-		c, known := s.overrides.Set(member, ordered)
-		if !known {
-			listed, _ := s.overrides.NodeCounts()
-			done <- &admin.UnknownMemberError{Member: member, ListedCount: listed}
-			return
-		}
-		if len(c.Members) > 0 {
-			s.listSink(c)
-		}
-		s.storeOverrides(handover.StoredOverrides{Nodes: map[string]override.Override{member: ordered}})
-		done <- nil
-	})
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-		return &admin.TimeoutError{Operation: "the order for " + member}
-	}
-}
-
-// SetDraining begins or ends a drain of clients.
-func (s *adminService) SetDraining(_ context.Context, on bool) error {
-	override := override.Override{Active: on, At: time.Now()}
-	s.mu.Lock()
-	if current := s.overrideState.Drain; current.Active == on {
-		override = current // a repeated call keeps the time of the first
-	}
-	s.mu.Unlock()
-	s.applyDrain(override)
-	s.storeOverrides(handover.StoredOverrides{Drain: override})
-	return nil
-}
