directory: a coordinator that numbers anew beside an inherited list is fetched whole

What callers would see: two processes alive, the coordinator starts anew with fewer updates than the older process was told. The younger one dropped the inherited list for that of its configuration, took it up again as the older one stored it once more, and never heard what the new coordinator's first update says. Cause: that the coordinator stays behind the inherited index in one series means that it numbers its updates anew, but only the inherited list was dropped. Change: the whole list is fetched, as where a process notices this itself; the inherited list serves until then. Evidence: "the coordinator numbers anew between" of TestListIsHandedOverInOutage failed before, 1 of 1: set-ups at a node that the new coordinator says drains, and at one that it does not have. Both run 2 of 2 now.

--- a/internal/directory/coordinator.go
+++ b/internal/directory/coordinator.go
@@ -156,9 +156,7 @@
 	defer c.mu.Unlock()
 	if len(u.Updates) == 0 && u.Index > 0 && u.Index < followed && followed == c.lastIndex {
 		if c.behind++; c.behind >= maxBehind {
-			c.Log.Warn("coordinator numbers its updates anew; fetching the whole list", zap.Uint64("received", c.lastIndex), zap.Uint64("has", u.Index))
-			c.lastIndex, c.behind = 0, 0
-			c.renumbered++
+			c.startAnew(c.lastIndex, u.Index)
 		}
 	} else {
 		c.behind = 0
@@ -173,6 +171,18 @@
 	return anyNew
 }
 
+// startAnew has the whole list fetched from a coordinator that numbers its updates anew: it has the
+// index has, and received was received from the one before. c.mu is held.
+func (c *CoordinatorClient) startAnew(received, has uint64) {
+	c.Log.Warn("coordinator numbers its updates anew; fetching the whole list", zap.Uint64("received", received), zap.Uint64("has", has))
+	c.lastIndex, c.behind = 0, 0
+	c.renumbered++
+}
+
+// refetching reports whether the coordinator numbers its updates anew and its whole list has not
+// come yet. c.mu is held.
+func (c *CoordinatorClient) refetching() bool { return c.renumbered > 0 && c.lastIndex == 0 }
+
 // Replay passes all updates on to sink, like a client that has polled from the start.
 func Replay(u Updates, names Names, sink Sink) {
 	u.deliver(0, func(update *endpoints) { sink(update.toChange(names)) })
--- a/internal/directory/inherit.go
+++ b/internal/directory/inherit.go
@@ -13,9 +13,9 @@
 // inheritedList is the list that another process of the manager was told, while it is used in
 // place of the one received here.
 type inheritedList struct {
-	snapshot  Snapshot
-	nodes     nodeSet
-	responses int // of the coordinator since, with all that it has
+	snapshot Snapshot
+	nodes    nodeSet
+	behind   int // responses of the coordinator since that stay behind its index
 }
 
 // Inherit uses a list that another process of the manager was told, if it is newer than the one
@@ -74,16 +74,19 @@
 // all that it has. c.mu is held.
 //
 // Guard: what the coordinator tells later wins, whatever the numbers. Only a response that stays
-// behind the inherited index in the same series may come from a replica that lags: up to maxBehind
-// times the coordinator is asked again at once, on a new connection.
+// behind the inherited index in the same series may come from a replica that lags, so the coordinator
+// is asked again at once, on a new connection. If it stays behind maxBehind times, it numbers its
+// updates anew, and the list in the configuration is not the beginning of the new series.
 func (c *CoordinatorClient) reviewInherited(response *Updates) {
 	moreToCome := len(response.Updates) > 0 && c.lastIndex < response.Index
 	if c.inherited == nil || moreToCome || c.refetching() {
 		return
 	}
-	c.inherited.responses++
 	header, snapshot := c.receivedHeader(), &c.inherited.snapshot
-	if snapshot.sameNumbering(&header) && c.lastIndex < snapshot.Index && c.inherited.responses < maxBehind {
+	if snapshot.sameNumbering(&header) && c.lastIndex < snapshot.Index {
+		if c.inherited.behind++; c.inherited.behind >= maxBehind {
+			c.startAnew(snapshot.Index, c.lastIndex)
+		}
 		c.PollNow()
 		return
 	}
@@ -120,10 +123,6 @@
 	return !c.receivedAt.IsZero() && c.inherited == nil && received.newerThan(s)
 }
 
-// refetching reports whether the coordinator numbers its updates anew and its whole list has not
-// come yet. c.mu is held.
-func (c *CoordinatorClient) refetching() bool { return c.renumbered > 0 && c.lastIndex == 0 }
-
 // noteReceived records a response of the coordinator, and that it has brought something if it had an
 // update or is the first. c.mu is held.
 func (c *CoordinatorClient) noteReceived(now time.Time, anyUpdate bool) {
