directory: a late answer does not stand in for a restarted coordinator's whole list

Cause: once the numbers begin anew, an answer to a poll after the old index, still under way on another connection, counted as the first update, and the whole list was never fetched. Change: until it has come, only answers to polls after index 0 are applied. Evidence: TestLateAnswerDoesNotReplaceWholeList failed before (last index 6, the whole list changed nothing) and passes.

--- a/internal/directory/coordinator.go
+++ b/internal/directory/coordinator.go
@@ -150,7 +150,8 @@
 // applyResponse passes on the updates of the response to a poll that followed an index, as apply does.
 //
 // Guard: a coordinator that has started anew at the address numbers its updates from 1. If it were
-// polled for those after the old index, nothing that it tells would arrive.
+// polled for those after the old index, nothing that it tells would arrive. What it answers to polls
+// after the old index is not applied from then on, since the whole list must come first.
 func (c *CoordinatorClient) applyResponse(u Updates, followed uint64, requested time.Time) (anyNew bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -162,7 +163,9 @@
 		c.behind = 0
 	}
 	revisionBefore := c.revision
-	anyNew = c.apply(u)
+	if !c.refetching() || followed == 0 {
+		anyNew = c.apply(u)
+	}
 	c.noteReceived(time.Now(), c.revision != revisionBefore)
 	c.reviewInherited(&u)
 	if c.OnResponse != nil {
--- a/internal/directory/restarted_coordinator_test.go
+++ b/internal/directory/restarted_coordinator_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // Guards against a coordinator that has started anew at the address of one that had gone being taken
@@ -65,3 +67,21 @@
 		}
 	}
 }
+
+// Guards against an answer to a poll after the old index, still under way when a coordinator is found to
+// number its updates anew: its update would count as the first, and the whole list would never be fetched.
+func TestLateAnswerDoesNotReplaceWholeList(t *testing.T) {
+	listed := make(listedNodes)
+	c := NewCoordinatorClient(parsePhases(t, 5, "ai"), names, listed.sink, zap.NewNop())
+	for range maxBehind {
+		c.applyResponse(Updates{Index: 4}, 5, time.Now())
+	}
+	c.applyResponse(parsePhases(t, 6, "ci"), 5, time.Now())
+	if c.lastIndex != 0 || listed.String() != "ai" {
+		t.Errorf("list %q, last index %d", listed, c.lastIndex)
+	}
+	c.applyResponse(parsePhases(t, 1, "bi", "bt"), 0, time.Now())
+	if c.lastIndex != 2 || listed.String() != "bt" {
+		t.Errorf("list %q, last index %d", listed, c.lastIndex)
+	}
+}
