--- a/cmd/millethinge/list_handover_test.go
+++ b/cmd/millethinge/list_handover_test.go
@@ -190,6 +190,14 @@
 	return strings.Join(found, "")
 }
 
+// drainBeforeOutage has node a drain, and then the coordinator be unreachable.
+func (u *listUpgrade) drainBeforeOutage() {
+	u.t.Helper()
+	u.source.publish(u.member("a", "terminating"))
+	u.awaitStored("a", "terminating")
+	u.source.down()
+}
+
 // upgrade replaces the newest process by one with the same configuration, and ends the older one by a
 // signal.
 func (u *listUpgrade) upgrade(signal syscall.Signal) {
@@ -272,24 +280,18 @@
 			u.expectSetUps("a", "d")
 		},
 		"the older process is killed": func(u *listUpgrade) {
-			u.source.publish(u.member("a", "terminating"))
-			u.awaitStored("a", "terminating")
-			u.source.down()
+			u.drainBeforeOutage()
 			u.upgrade(syscall.SIGKILL)
 			u.expectSetUps("b")
 		},
 		"the older process was killed before": func(u *listUpgrade) {
-			u.source.publish(u.member("a", "terminating"))
-			u.awaitStored("a", "terminating")
-			u.source.down()
+			u.drainBeforeOutage()
 			u.newest.kill()
 			u.startNewest()
 			u.expectSetUps("b")
 		},
 		"a second upgrade in the outage": func(u *listUpgrade) {
-			u.source.publish(u.member("a", "terminating"))
-			u.awaitStored("a", "terminating")
-			u.source.down()
+			u.drainBeforeOutage()
 			u.upgrade(syscall.SIGTERM)
 			u.upgrade(syscall.SIGTERM)
 			u.expectSetUps("b")
@@ -346,18 +348,14 @@
 			u.expectSetUps("a", "d")
 		},
 		"the configuration is newer": func(u *listUpgrade) {
-			u.source.publish(u.member("a", "terminating"))
-			u.awaitStored("a", "terminating")
-			u.source.down()
+			u.drainBeforeOutage()
 			u.newest.members = u.member("a", "in_service") + "," + u.member("c", "in_service")
 			u.newest.writeConfig(u.source.addr())
 			u.upgrade(syscall.SIGTERM)
 			u.expectSetUps("a", "c")
 		},
 		"no list is handed over": func(u *listUpgrade) {
-			u.source.publish(u.member("a", "terminating"))
-			u.awaitStored("a", "terminating")
-			u.source.down()
+			u.drainBeforeOutage()
 			if err := os.Remove(u.storedList()); err != nil {
 				u.t.Fatal(err)
 			}
@@ -366,9 +364,7 @@
 			u.awaitLogged("no newer list of media nodes handed over")
 		},
 		"the stored list is cut off": func(u *listUpgrade) {
-			u.source.publish(u.member("a", "terminating"))
-			u.awaitStored("a", "terminating")
-			u.source.down()
+			u.drainBeforeOutage()
 			if err := os.Truncate(u.storedList(), 100); err != nil {
 				u.t.Fatal(err)
 			}
